--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,807 @@
+// Package brain decides for one call control of a mesh of exchanges. Read api.go first: it holds the
+// settings, the events and the actions. This file holds every decision and every tuned value.
+//
+// The mechanism is the fuzzy window: per far processor a window of first set-ups awaiting an answer,
+// resized each step by Table I from that processor's load and from the share of its slots held. The own
+// processor has a window of the same kind.
+package brain
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// The window and its step.
+const (
+	stepEvery = 500 * time.Millisecond // between two steps of the windows
+	// slots at start, shared by all senders to a processor (Little's law)
+	startWindow   = 20.0
+	maxWindow     = 200.0       // ceiling of a window
+	minSlots      = 1           // a window always lets one set-up through
+	holdAtMost    = time.Second // a call without a slot or circuit waits no longer
+	pressureDecay = 0.5         // part of the evidence of load that is left after a step
+	// an answer that takes this share of the shortest aim reads as full load
+	slowShare  = 0.5
+	reportKept = 2 * time.Second // a load report older than this is not read
+)
+
+// The fuzzy sets: where Low ends, Medium peaks and High is full. High begins at the middle, so a reading
+// below 0.6 is never High.
+const (
+	setLow, setMid, setHigh = 0.3, 0.6, 0.9
+)
+
+// The outputs of Table I.
+const (
+	fastDec, dec, slowDec, noChange, slowInc, inc = -0.6, -0.35, -0.15, 0.0, 0.15, 0.4
+)
+
+// Routes and circuits.
+const (
+	maxTandems    = 2 // tandems tried for a call
+	keptForDirect = 2 // circuits of a group that transit and tandem calls leave free
+	// a tandem that turned a call back is skipped for that destination so long
+	turnedBackKept = 2 * time.Second
+)
+
+// Health of far processors.
+const (
+	// so many set-ups without any sign of life: the exchange is silent
+	silentAfter = 2
+	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
+	trialEvery  = time.Second             // between the trial calls to a silent exchange
+	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
+	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
+	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
+	maxPerBusy  = 1                       // set-ups out at once to a number found busy
+	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
+	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
+	answerShift = 4                       // one step moves the usual answer time by one part of so many
+	coldSafety  = 0.7                     // part of the cold budget that is used
+	usualWeight = 0.05                    // weight of one step in the usual rate of sends
+)
+
+// stepTimer is the timer of the steps; calls have timers of their own id, below it.
+const stepTimer = uint64(1) << 40
+
+// exchange is a far processor, or the own one.
+type exchange struct {
+	code     int
+	addr     string
+	health   Health
+	launched time.Duration
+
+	window  float64       // Wmax
+	held    int           // slots held now
+	heldSum time.Duration // slot time held in this step
+	heldAt  time.Duration // heldSum is kept up to here
+	heldAvg [2]float64    // mean slots held, last step and the one before
+	peak    int           // most slots held in this step
+
+	answers, pressure float64 // decayed number of answers and the load that they showed
+	load              float64 // load by the last report
+	loadAt            time.Duration
+	free, size        float64
+	grouped           bool // the trunk group's state is known
+
+	out        []*call // attempts out towards it, by time of send
+	lastAnswer time.Duration
+	delays     time.Duration // sum of the answer times in this step ...
+	delayed    time.Duration // ... and their number
+	unanswered int
+	silent     bool
+	trialAt    time.Duration
+	turned     map[int]time.Duration // as tandem: destinations and when it last turned a call back
+
+	sends    []time.Duration // sends within the last FallSpan
+	usual    float64         // usual set-ups a second sent to it while it is warm
+	sentStep int
+	steps    float64
+}
+
+type phase uint8
+
+const (
+	held phase = iota
+	setting
+	standing
+	over
+)
+
+// call is a call that is owed an answer, or stands.
+type call struct {
+	Offered
+	phase     phase
+	arrived   time.Duration
+	aimEnd    time.Duration
+	holdUntil time.Duration
+	earliest  time.Duration // not sent before: the release is awaited
+	worth     float64
+	attempts  int
+	tandems   int
+	tried     []int     // tandems already tried
+	to        *exchange // where the attempt out has gone
+	slotted   bool      // it holds a slot at to and at the own exchange
+	sentAt    time.Duration
+	mayRun    bool // an attempt may have been carried out
+	late      bool // its aim cannot be met any more
+}
+
+// number is the evidence on one dialled number.
+type number struct {
+	busyAt    time.Duration
+	out       int
+	refusedAt time.Duration // a call to it was last refused here ...
+	aimEnd    time.Duration // ... whose aim ends here
+}
+
+// Controller is one call control. It is not safe for concurrent use.
+type Controller struct {
+	cfg        Config
+	now        time.Duration
+	out        []Action
+	started    bool
+	own        *exchange
+	exchanges  map[int]*exchange
+	order      []*exchange // by point code
+	byAddr     map[string]*exchange
+	calls      map[uint64]*call
+	waiting    []*call
+	numbers    map[string]*number
+	aim        time.Duration // shortest aim of all classes
+	best       float64       // highest worth of a class
+	ownWait    time.Duration // wait at the own processor
+	answerTime time.Duration // usual time of an answer
+}
+
+// New makes a controller.
+func New(cfg Config) (*Controller, error) {
+	if len(cfg.Classes) == 0 {
+		return nil, errors.New("no call classes")
+	}
+	if cfg.Guard < 0 || cfg.MaxHoldOff < 0 || cfg.WarmUp < 0 || cfg.FallSpan < 0 {
+		return nil, errors.New("a negative time")
+	}
+	if cfg.ColdShare < 0 || cfg.FallMultiple < 0 || cfg.MaxAttempts < 0 || cfg.Controllers < 0 {
+		return nil, errors.New("a negative share or number")
+	}
+	c := &Controller{cfg: cfg, exchanges: map[int]*exchange{}, byAddr: map[string]*exchange{},
+		calls: map[uint64]*call{}, numbers: map[string]*number{}}
+	for i, cl := range cfg.Classes {
+		if cl.Aim <= 0 || cl.Worth < 0 {
+			return nil, fmt.Errorf("class %d: the aim must be positive and the worth not negative", i)
+		}
+		if c.aim == 0 || cl.Aim < c.aim {
+			c.aim = cl.Aim
+		}
+		c.best = max(c.best, cl.Worth)
+	}
+	c.own = &exchange{code: cfg.Self, window: startWindow}
+	return c, nil
+}
+
+// Handle takes one event at the time now and appends to out what is to be done.
+func (c *Controller) Handle(now time.Duration, ev Event, out []Action) []Action {
+	c.now, c.out = now, out
+	if !c.started {
+		c.started = true
+		c.do(SetTimer{ID: stepTimer, After: stepEvery})
+		if c.cfg.AskForList {
+			c.do(Subscribe{})
+		}
+	}
+	switch ev := ev.(type) {
+	case List:
+		c.list(ev)
+	case Offered:
+		c.offered(ev)
+	case Established:
+		c.established(ev)
+	case Returned:
+		c.returned(ev)
+	case Released:
+		if k := c.calls[ev.Call]; k != nil && k.phase != over {
+			c.end(k, nil)
+		}
+	case Status:
+		if x := c.byAddr[ev.Exchange]; x != nil {
+			c.report(x, &ev.Report)
+			c.serve()
+		}
+	case Timer:
+		if ev.ID == stepTimer {
+			c.do(SetTimer{ID: stepTimer, After: stepEvery})
+			c.step()
+		} else if k := c.calls[ev.ID]; k != nil && k.phase == held {
+			c.place(k)
+		}
+	}
+	out, c.out = c.out, nil
+	return out
+}
+
+func (c *Controller) do(a Action) { c.out = append(c.out, a) }
+
+// list follows the list of exchanges.
+func (c *Controller) list(ev List) {
+	if ev.Failed {
+		if c.cfg.AskForList {
+			c.do(Subscribe{})
+		}
+		return
+	}
+	seen := map[int]bool{}
+	for _, e := range ev.Entries {
+		if e.PointCode == c.cfg.Self && !c.cfg.Pools {
+			continue
+		}
+		x := c.exchanges[e.PointCode]
+		if x == nil {
+			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
+				launched: e.Launched, heldAt: c.now, turned: map[int]time.Duration{},
+				window: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
+			c.exchanges[e.PointCode] = x
+			at, _ := slices.BinarySearchFunc(c.order, x, func(a, b *exchange) int { return a.code - b.code })
+			c.order = slices.Insert(c.order, at, x)
+		}
+		c.byAddr[e.Address] = x
+		seen[e.PointCode] = seen[e.PointCode] || e.Health != Gone
+		switch {
+		case e.Address == x.addr:
+			x.health = e.Health
+		case e.Health == Ready && (x.health != Ready || e.Launched >= x.launched):
+			x.addr, x.health = e.Address, Ready // a replacement
+		default:
+			continue
+		}
+		if e.Health == Ready && e.Launched > x.launched {
+			c.fresh(x, e.Launched)
+		}
+	}
+	for _, x := range c.order {
+		if ev.Whole && !seen[x.code] {
+			x.health = Gone
+		}
+	}
+	c.serve()
+}
+
+// fresh notes that the processor of x has started anew: it is cold, and what was known of its load is void.
+func (c *Controller) fresh(x *exchange, launched time.Duration) {
+	x.launched = launched
+	x.silent, x.unanswered, x.answers, x.pressure, x.loadAt = false, 0, 0, 0, 0
+	x.window = max(minSlots, x.window*c.cfg.ColdShare)
+}
+
+func (c *Controller) cold(x *exchange) bool {
+	return x.launched > 0 && c.now < x.launched+c.cfg.WarmUp
+}
+
+// coldRoom tells whether one more set-up to x keeps within the own share of the cold budget. All
+// controllers together push a fresh processor over when they send more than FallMultiple times what it
+// can do for FallSpan. A processor was able to carry its usual load, so each controller takes the part of
+// the budget that it had of that load.
+func (c *Controller) coldRoom(x *exchange) bool {
+	if !c.cold(x) {
+		return true
+	}
+	budget := coldSafety * c.cfg.FallMultiple * c.cfg.ColdShare * x.usual * c.cfg.FallSpan.Seconds()
+	return float64(len(x.sends)+1) <= max(1, budget)
+}
+
+// offered takes a call.
+func (c *Controller) offered(ev Offered) {
+	if ev.Class < 0 || ev.Class >= len(c.cfg.Classes) {
+		ev.Class = 0
+	}
+	cl := &c.cfg.Classes[ev.Class]
+	if ev.Circuits <= 0 {
+		ev.Circuits = max(1, cl.Circuits)
+	}
+	k := &call{Offered: ev, arrived: c.now, worth: cl.Worth}
+	c.calls[ev.Call] = k
+	k.aimEnd = c.now + cl.Aim
+	if n := c.numbers[ev.Number]; ev.Transit {
+		k.aimEnd = ev.Due
+	} else if n != nil && !ev.CutBefore && n.refusedAt > 0 && c.now < n.refusedAt+redialKept {
+		k.aimEnd = n.aimEnd // dialled again: the aim runs from the first try
+	}
+	k.late = c.now+c.answerTime >= k.aimEnd
+	if k.late {
+		k.worth *= cl.LateWorth
+	}
+	k.holdUntil = min(c.now+holdAtMost, k.aimEnd-c.answerTime, ev.Due-answerSpare)
+	c.place(k)
+}
+
+// evidence notes an answer of x that took d.
+func (c *Controller) evidence(x *exchange, d time.Duration) {
+	x.answers++
+	x.pressure += min(1, max(0, d.Seconds()/(slowShare*c.aim.Seconds())))
+}
+
+// place sends a call, holds it or refuses it.
+func (c *Controller) place(k *call) {
+	waits := slices.Index(c.waiting, k)
+	if c.now >= k.earliest {
+		x, wait := c.route(k)
+		if x != nil && c.send(k, x) {
+			if waits >= 0 {
+				c.waiting = slices.Delete(c.waiting, waits, waits+1)
+			}
+			return
+		}
+		if !wait {
+			c.end(k, c.refusal(k))
+			return
+		}
+	}
+	if c.now >= k.holdUntil || k.earliest >= k.holdUntil {
+		c.end(k, c.refusal(k))
+		return
+	}
+	if waits < 0 {
+		at, _ := slices.BinarySearchFunc(c.waiting, k, before)
+		c.waiting = slices.Insert(c.waiting, at, k)
+		if k.earliest > c.now {
+			c.do(SetTimer{ID: k.Call, After: k.earliest - c.now})
+		}
+		c.do(SetTimer{ID: k.Call, After: k.holdUntil - c.now})
+	}
+}
+
+// before orders held calls: cut calls first, then high worth, then the newest. With the oldest first a
+// standing queue would set every call up just after its aim.
+func before(a, b *call) int {
+	switch {
+	case a.CutBefore != b.CutBefore:
+		if a.CutBefore {
+			return -1
+		}
+		return 1
+	case a.worth != b.worth:
+		return int(math.Copysign(1, b.worth-a.worth))
+	case a.arrived != b.arrived:
+		return int(b.arrived - a.arrived)
+	}
+	return int(b.Call) - int(a.Call)
+}
+
+// serve tries the held calls again when something may have come free.
+func (c *Controller) serve() {
+	for _, k := range slices.Clone(c.waiting) {
+		if k.phase == held && c.now >= k.earliest {
+			if x, _ := c.route(k); x != nil {
+				c.place(k)
+			}
+		}
+	}
+}
+
+// slots are the set-ups that the window of x lets out at once.
+func slots(x *exchange) int { return max(minSlots, int(x.window)) }
+
+// admits tells whether a first set-up may take a slot at x.
+func (c *Controller) admits(x *exchange) bool {
+	if x.silent { // no load, but no sign of life either: single trials
+		return len(x.out) == 0 && c.now >= x.trialAt
+	}
+	return x.held < slots(x) && c.coldRoom(x)
+}
+
+// route chooses where a call goes next, or nil; wait tells whether it may be held for a slot or circuit.
+func (c *Controller) route(k *call) (x *exchange, wait bool) {
+	dest := c.exchanges[k.Destination]
+	if dest == nil || dest.health != Ready {
+		return nil, false
+	}
+	if k.attempts >= c.cfg.MaxAttempts || k.mayRun && !c.cfg.Classes[k.Class].Repeatable {
+		return nil, false
+	}
+	if k.Transit {
+		if !dest.silent && c.coldRoom(dest) && (!dest.grouped || dest.free >= k.Circuits+keptForDirect) {
+			return dest, false
+		}
+		return nil, false
+	}
+	if n := c.numbers[k.Number]; n != nil && n.busyAt > 0 &&
+		(n.out >= maxPerBusy || c.now < n.busyAt+busyHold) {
+		return nil, false
+	}
+	if dest.silent && !c.admits(dest) {
+		return nil, false
+	}
+	if !c.admits(dest) || c.own.held >= slots(c.own) {
+		return nil, true
+	}
+	if !dest.grouped || dest.free >= k.Circuits {
+		return dest, true
+	}
+	if k.tandems >= maxTandems {
+		return nil, true
+	}
+	var choice *exchange
+	var least uint64
+	for _, t := range c.order {
+		turned := t.turned[dest.code]
+		if t == dest || t.health != Ready || t.silent || c.cold(t) || !c.admits(t) || !t.grouped ||
+			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
+			turned > 0 && c.now < turned+turnedBackKept {
+			continue
+		}
+		if h := c.hash(k.Call, t.code); choice == nil || h < least {
+			choice, least = t, h
+		}
+	}
+	return choice, true
+}
+
+// hash orders the tandems of a call.
+func (c *Controller) hash(id uint64, code int) uint64 {
+	h := c.cfg.Seed ^ id*0x9e3779b97f4a7c15 ^ uint64(code+1)*0xc2b2ae3d27d4eb4f
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// send starts an attempt. It is the one place that does, and here the rules hold whatever asked for it:
+// the call is live, within its time and has no attempt out, the exchange neither drains nor is gone, the
+// cold budget has room, and the release has been awaited.
+func (c *Controller) send(k *call, x *exchange) bool {
+	if k.phase != held || c.now >= k.Due || c.now < k.earliest || k.attempts >= c.cfg.MaxAttempts ||
+		x.health != Ready || !c.coldRoom(x) || k.Transit && x.code != k.Destination || x == c.own {
+		return false
+	}
+	timeOut := k.Due - c.now
+	if !k.Transit {
+		timeOut = min(timeOut, max(minTimeOut, k.aimEnd-c.now))
+		c.slot(x, 1)
+		c.slot(c.own, 1)
+		k.slotted = true
+	}
+	k.phase, k.to, k.sentAt = setting, x, c.now
+	k.attempts++
+	if x.code != k.Destination {
+		k.tandems++
+		k.tried = append(k.tried, x.code)
+	}
+	if x.silent {
+		x.trialAt = c.now + trialEvery
+	}
+	if n := c.numbers[k.Number]; n != nil {
+		n.out++
+	}
+	x.out = append(x.out, k)
+	x.sends = append(x.sends, c.now)
+	x.sentStep++
+	x.free -= k.Circuits
+	c.do(SetUp{Call: k.Call, Exchange: x.addr, TimeOut: timeOut})
+	return true
+}
+
+// slot takes (1) or frees (-1) a slot at x and keeps the account of slots held over time.
+func (c *Controller) slot(x *exchange, n int) {
+	x.heldSum += time.Duration(x.held) * (c.now - x.heldAt)
+	x.heldAt = c.now
+	x.held += n
+	x.peak = max(x.peak, x.held)
+}
+
+// answered takes the attempt that is out from the books.
+func (c *Controller) answered(k *call) {
+	if k.to == nil {
+		return
+	}
+	if i := slices.Index(k.to.out, k); i >= 0 {
+		k.to.out = slices.Delete(k.to.out, i, i+1)
+	}
+	if k.slotted {
+		c.slot(k.to, -1)
+		c.slot(c.own, -1)
+		k.slotted = false
+	}
+	if n := c.numbers[k.Number]; n != nil && n.out > 0 {
+		n.out--
+	}
+	k.to = nil
+}
+
+// refusal is the final answer for a call that is not set up.
+func (c *Controller) refusal(k *call) Action {
+	if k.mayRun && !c.cfg.Classes[k.Class].Repeatable {
+		return Fail{Call: k.Call}
+	}
+	return Refuse{Call: k.Call}
+}
+
+// end closes a call, with its final answer unless that has been given. No other place does.
+func (c *Controller) end(k *call, answer Action) {
+	if answer != nil && k.phase != over && k.phase != standing {
+		c.do(answer)
+		if !k.Transit {
+			n := c.number(k.Number)
+			n.refusedAt, n.aimEnd = c.now, k.aimEnd
+		}
+	}
+	if k.phase == held {
+		if i := slices.Index(c.waiting, k); i >= 0 {
+			c.waiting = slices.Delete(c.waiting, i, i+1)
+		}
+	}
+	k.phase = over
+	if k.to == nil { // an attempt that is out still returns
+		delete(c.calls, k.Call)
+	}
+}
+
+// alive notes a sign of life of x.
+func (c *Controller) alive(x *exchange) {
+	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
+}
+
+func (c *Controller) established(ev Established) {
+	k := c.calls[ev.Call]
+	if k == nil || k.to == nil {
+		return
+	}
+	x := k.to
+	c.alive(x)
+	if x.code == k.Destination {
+		c.evidence(x, ev.Delay-c.ownWait)
+		x.delays, x.delayed = x.delays+ev.Delay, x.delayed+1
+	} else if d := c.exchanges[k.Destination]; d != nil {
+		c.alive(d)
+	}
+	c.answered(k)
+	if k.phase == setting {
+		k.phase = standing
+	}
+	c.serve()
+}
+
+func (c *Controller) returned(ev Returned) {
+	x := c.byAddr[ev.Exchange]
+	if x != nil && ev.Report != nil {
+		c.report(x, ev.Report)
+	}
+	k := c.calls[ev.Call]
+	if k == nil {
+		return
+	}
+	direct := x != nil && x.code == k.Destination
+	setUp := k.to != nil // it had not stood
+	c.answered(k)
+	if x != nil && setUp {
+		c.learn(k, x, direct, ev)
+	}
+	if ev.Final || k.phase != setting {
+		k.phase = max(k.phase, standing)
+		c.end(k, nil)
+		c.serve()
+		return
+	}
+	k.phase = held
+	again := true
+	switch ev.Cause {
+	case TimedOut, Reset, Cancelled: // what the attempt held may stay taken: the release is awaited
+		k.mayRun = true
+		k.earliest = c.now + c.cfg.Guard
+		again = ev.Cause != TimedOut || !direct
+	case Failed:
+		k.mayRun = true
+		again = ev.Reason != NumberBusy
+	case NoContact:
+		again = !direct
+	case NotSent:
+		again = ev.Reason == NoCircuit
+	case NotSetUp:
+		// A full destination is not asked again, neither direct nor over a tandem.
+		again = ev.Reason != TurnedBackFull && !(ev.Reason == ProcessorFull && direct)
+	}
+	switch {
+	case k.Transit || !again || c.now >= k.Due-answerSpare:
+		if ev.Cause == TimedOut {
+			c.end(k, Fail{Call: k.Call})
+		} else {
+			c.end(k, c.refusal(k))
+		}
+	default:
+		c.place(k)
+	}
+	c.serve()
+}
+
+// learn draws from an attempt that has ended what it tells of the exchange and the number.
+func (c *Controller) learn(k *call, x *exchange, direct bool, ev Returned) {
+	switch ev.Cause {
+	case Completed, Failed, NotSetUp:
+		c.alive(x)
+	case TimedOut, NoContact:
+		if direct {
+			c.unanswered(x, k.sentAt)
+		}
+	}
+	if ev.Cause == NotSent && ev.Reason == NoCircuit {
+		x.free = min(x.free, k.Circuits-1)
+	}
+	dest := c.exchanges[k.Destination]
+	switch ev.Reason {
+	case ProcessorFull:
+		if ev.Cause != NotSent {
+			c.evidence(x, c.aim)
+		}
+	case TurnedBackFull:
+		if dest != nil {
+			c.evidence(dest, c.aim)
+		}
+		fallthrough
+	case TurnedBack:
+		x.turned[k.Destination] = c.now
+	case NumberBusy:
+		c.number(k.Number).busyAt = c.now
+	}
+}
+
+// number is the evidence on one number.
+func (c *Controller) number(key string) *number {
+	n := c.numbers[key]
+	if n == nil {
+		n = &number{}
+		c.numbers[key] = n
+	}
+	return n
+}
+
+// unanswered notes a set-up to x, sent at the given time, that has had no answer.
+func (c *Controller) unanswered(x *exchange, sent time.Duration) {
+	if x.lastAnswer >= sent {
+		c.evidence(x, c.aim) // others were answered meanwhile: it is slow, not silent
+		return
+	}
+	if x.unanswered++; x.unanswered >= silentAfter && !x.silent {
+		x.silent, x.trialAt = true, c.now+trialEvery
+	}
+}
+
+// report takes what is told of x.
+func (c *Controller) report(x *exchange, r *Report) {
+	if r.Free >= 0 && r.Size >= 0 {
+		x.free, x.size, x.grouped = r.Free, r.Size, true
+	}
+	load := r.Utilisation
+	slow := slowShare * c.aim.Seconds()
+	if r.Wait >= 0 {
+		load = max(load, min(1, r.Wait/slow))
+	} else if r.Queue >= 0 && r.Rate > 0 {
+		load = max(load, min(1, r.Queue/r.Rate/slow))
+	}
+	if load = max(load, r.HoldBack); load >= 0 {
+		x.load, x.loadAt = load, c.now
+	}
+}
+
+// step resizes every window, in the order of the point codes.
+func (c *Controller) step() {
+	c.timing()
+	for _, x := range c.order {
+		overdue := 0
+		for _, k := range x.out {
+			if age := c.now - k.sentAt - c.ownWait; x.code == k.Destination &&
+				age.Seconds() > overdueAt*c.aim.Seconds() {
+				if x.lastAnswer < k.sentAt {
+					overdue++
+				} else {
+					c.evidence(x, age)
+				}
+			}
+		}
+		if overdue >= silentAfter && !x.silent {
+			x.silent, x.trialAt = true, c.now+trialEvery
+		}
+		for len(x.sends) > 0 && x.sends[0] <= c.now-c.cfg.FallSpan {
+			x.sends = x.sends[1:]
+		}
+		if x.health == Ready && !x.silent && !c.cold(x) {
+			x.steps++
+			rate := float64(x.sentStep) / stepEvery.Seconds()
+			x.usual += (rate - x.usual) * max(usualWeight, 1/x.steps)
+		}
+		x.sentStep = 0
+		c.resize(x)
+	}
+	c.own.answers, c.own.pressure = 0, 0
+	c.evidence(c.own, c.ownWait)
+	c.resize(c.own)
+	for key, n := range c.numbers {
+		if n.out == 0 && c.now > max(n.busyAt, n.refusedAt)+numberKept {
+			delete(c.numbers, key)
+		}
+	}
+	c.serve()
+}
+
+// timing learns from the answer times of the step. What all far exchanges have in common is the wait at the
+// own processor: the least of their means.
+func (c *Controller) timing() {
+	var sum, n, least time.Duration
+	heard := 0
+	for _, x := range c.order {
+		if x.delayed > 0 {
+			sum, n = sum+x.delays, n+x.delayed
+			if mean := x.delays / x.delayed; heard == 0 || mean < least {
+				least = mean
+			}
+			heard++
+		}
+		x.delays, x.delayed = 0, 0
+	}
+	if n > 0 {
+		c.answerTime += (sum/n - c.answerTime) / answerShift
+	}
+	if heard >= 2 {
+		c.ownWait = least
+	}
+}
+
+// resize is the step of one window: Wmax += dW * Wmax, dW from Table I.
+func (c *Controller) resize(x *exchange) {
+	c.slot(x, 0)
+	x.heldAvg[1], x.heldAvg[0] = x.heldAvg[0], x.heldSum.Seconds()/stepEvery.Seconds()
+	peak := x.peak
+	x.heldSum, x.peak = 0, x.held
+	load := 0.0
+	if x.answers > 0 {
+		load = x.pressure / x.answers
+	}
+	if x.loadAt > 0 && c.now-x.loadAt <= reportKept {
+		load = max(load, x.load)
+	}
+	x.answers, x.pressure = x.answers*pressureDecay, x.pressure*pressureDecay
+	if x.silent { // silence is no load: the window waits as it was
+		return
+	}
+	full := float64(slots(x))
+	change := deltaW(load, min(1, (x.heldAvg[0]+x.heldAvg[1])/2/full))
+	if change > 0 && float64(peak) < full-1 {
+		return // it grows only when its slots were nearly all used
+	}
+	x.window = min(maxWindow, max(minSlots, x.window*(1+change)))
+}
+
+// table is Table I: rows by load, columns by share of slots held; Low, Medium, High.
+var table = [3][3]float64{
+	{inc, slowInc, slowDec},
+	{slowInc, noChange, dec},
+	{slowDec, dec, fastDec},
+}
+
+// grades are the memberships of v in Low, Medium and High.
+func grades(v float64) [3]float64 {
+	up := func(from, to float64) float64 { return min(1, max(0, (v-from)/(to-from))) }
+	low, high := 1-up(setLow, setMid), up(setMid, setHigh)
+	return [3]float64{low, min(up(setLow, setMid), 1-high), high}
+}
+
+// deltaW is the Mamdani controller: rules fire by the lesser of their grades, rules with the same output
+// merge by the greater, and the central average of the outputs is the change.
+func deltaW(load, heldShare float64) float64 {
+	a, b := grades(load), grades(heldShare)
+	outputs := [...]float64{fastDec, dec, slowDec, noChange, slowInc, inc}
+	var sum, weight float64
+	for _, out := range outputs {
+		var fired float64
+		for i := range table {
+			for j := range table[i] {
+				if table[i][j] == out {
+					fired = max(fired, min(a[i], b[j]))
+				}
+			}
+		}
+		sum += fired * out
+		weight += fired
+	}
+	return sum / weight
+}
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,466 @@
+package brain
+
+import (
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func config() Config {
+	return Config{Seed: 1, Self: 0, Controllers: 4, MaxAttempts: 4, Guard: 200 * ms, MaxHoldOff: 2 * time.Second,
+		WarmUp: 15 * time.Second, ColdShare: 0.4, FallMultiple: 2, FallSpan: 3 * time.Second,
+		Classes: []Class{
+			{Aim: 1500 * ms, MeanHold: 10 * time.Second, Worth: 1, Circuits: 1, Repeatable: true},
+			{Aim: 1200 * ms, MeanHold: 10 * time.Second, Worth: 5, Circuits: 1, Repeatable: true}}}
+}
+
+var addresses = []string{"a:0", "a:1", "a:2", "a:3"}
+
+// rig drives one controller and keeps what it did.
+type rig struct {
+	t   *testing.T
+	c   *Controller
+	now time.Duration
+	id  uint64
+}
+
+func newRig(t *testing.T, cfg Config, free float64) *rig {
+	t.Helper()
+	c, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, c: c, now: time.Hour}
+	var list List
+	for i, a := range addresses {
+		list.Entries = append(list.Entries, Entry{Address: a, PointCode: i})
+	}
+	list.Whole = true
+	r.do(list)
+	for i := 1; i < len(addresses); i++ {
+		r.group(i, free)
+	}
+	return r
+}
+
+func (r *rig) do(ev Event) []Action {
+	var acts []Action
+	for _, a := range r.c.Handle(r.now, ev, nil) {
+		if _, ok := a.(SetTimer); !ok {
+			acts = append(acts, a)
+		}
+	}
+	return acts
+}
+
+func (r *rig) group(i int, free float64) []Action {
+	return r.do(Status{Exchange: addresses[i], OK: true, Report: Report{Free: free, Size: 20,
+		Utilisation: -1, Queue: -1, Rate: -1, Wait: -1, HoldBack: -1}})
+}
+
+// call offers a call to exchange dest.
+func (r *rig) call(dest int, change ...func(*Offered)) []Action {
+	r.id++
+	ev := Offered{Call: r.id, Destination: dest, Advised: -1, Circuits: 1, Due: r.now + 3*time.Second,
+		Number: strings.Repeat("n", int(r.id%50)+1)}
+	for _, f := range change {
+		f(&ev)
+	}
+	return r.do(ev)
+}
+
+func (r *rig) returned(id uint64, at string, cause Cause, why Reason) []Action {
+	return r.do(Returned{Call: id, Exchange: at, Cause: cause, Reason: why})
+}
+
+func (r *rig) steps(n int) (acts []Action) {
+	for range n {
+		r.now += stepEvery
+		acts = append(acts, r.do(Timer{ID: stepTimer})...)
+	}
+	return acts
+}
+
+func (r *rig) sentTo(acts []Action) string {
+	r.t.Helper()
+	for _, a := range acts {
+		if s, ok := a.(SetUp); ok {
+			return s.Exchange
+		}
+	}
+	return ""
+}
+
+func count[T Action](acts []Action) (n int) {
+	for _, a := range acts {
+		if _, ok := a.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTableI(t *testing.T) {
+	at := [3]float64{0, setMid, 1}
+	want := [3][3]float64{{0.4, 0.15, -0.15}, {0.15, 0, -0.35}, {-0.15, -0.35, -0.6}}
+	for i, load := range at {
+		for j, held := range at {
+			if got := deltaW(load, held); math.Abs(got-want[i][j]) > 1e-9 {
+				t.Errorf("deltaW(%v, %v) = %v, want %v", load, held, got, want[i][j])
+			}
+		}
+	}
+	for l := 0.0; l <= 1; l += 0.05 {
+		if grades(min(l, 0.599))[2] > 0 {
+			t.Errorf("a reading of %v is High", l)
+		}
+		for h := 0.0; h <= 1; h += 0.05 {
+			w := deltaW(l, h)
+			if w < -0.6-1e-9 || w > 0.4+1e-9 {
+				t.Errorf("deltaW(%v, %v) = %v is out of range", l, h, w)
+			}
+			if deltaW(l+0.3, h) > w+1e-9 || deltaW(l, h+0.3) > w+1e-9 {
+				t.Errorf("deltaW grows with an input at (%v, %v)", l, h)
+			}
+		}
+	}
+}
+
+func TestWindowStep(t *testing.T) {
+	r := newRig(t, config(), 20)
+	x := r.c.exchanges[1]
+	w := x.window
+	r.steps(3)
+	if x.window != w {
+		t.Errorf("an unused window went from %v to %v", w, x.window)
+	}
+	for range 6 { // all slots held: High; overdue answers: High
+		r.call(1)
+		x.answers, x.pressure = x.answers+10, x.pressure+10
+	}
+	r.now += 500 * ms
+	x.heldSum, x.heldAt = time.Duration(slots(x))*stepEvery, r.now
+	x.heldAvg[0] = float64(slots(x))
+	r.do(Timer{ID: stepTimer})
+	if want := w * 0.4; math.Abs(x.window-want) > 1e-6 {
+		t.Errorf("window %v after a step with both inputs High, want %v", x.window, want)
+	}
+	x.window = 1
+	r.steps(1)
+	if x.window < minSlots {
+		t.Errorf("window %v is under its floor", x.window)
+	}
+}
+
+func TestOneAnswerInTime(t *testing.T) {
+	r := newRig(t, config(), 0) // no circuits: the call is held
+	if acts := r.call(1); len(acts) != 0 {
+		t.Fatalf("a call without circuits: %v, want it held", acts)
+	}
+	r.now += holdAtMost
+	if acts := r.do(Timer{ID: 1}); count[Refuse](acts) != 1 {
+		t.Fatalf("after the hold: %v, want one Refuse", acts)
+	}
+	if acts := r.group(1, 5); len(acts) != 0 {
+		t.Errorf("after the final answer: %v", acts)
+	}
+}
+
+func TestTimeOutAtDueIsAnswered(t *testing.T) {
+	r := newRig(t, config(), 20)
+	for _, transit := range []bool{false, true} {
+		acts := r.call(1, func(o *Offered) { o.Transit = transit })
+		if r.sentTo(acts) != "a:1" {
+			t.Fatalf("no set-up: %v", acts)
+		}
+		r.now += 3 * time.Second
+		if acts := r.returned(r.id, "a:1", TimedOut, NoReason); count[Fail](acts) != 1 || len(acts) != 1 {
+			t.Errorf("transit %v: %v at the due time, want one Fail", transit, acts)
+		}
+	}
+}
+
+func TestReleaseIsAwaited(t *testing.T) {
+	for _, cause := range []Cause{Reset, Cancelled} {
+		r := newRig(t, config(), 20)
+		r.call(1)
+		if acts := r.returned(1, "a:1", cause, NoReason); len(acts) != 0 {
+			t.Fatalf("cause %d: %v, want the call held", cause, acts)
+		}
+		r.now += 199 * ms
+		if acts := r.do(Timer{ID: 1}); len(acts) != 0 {
+			t.Errorf("cause %d: %v before the guard had passed", cause, acts)
+		}
+		r.now += ms
+		if acts := r.do(Timer{ID: 1}); r.sentTo(acts) != "a:1" {
+			t.Errorf("cause %d: %v after the guard, want a set-up", cause, acts)
+		}
+	}
+}
+
+func TestDrainingAndGoneGetNothing(t *testing.T) {
+	for _, h := range []Health{Draining, Gone} {
+		r := newRig(t, config(), 20)
+		r.do(List{Entries: []Entry{{Address: "a:1", PointCode: 1, Health: h}}})
+		if acts := r.call(1); count[SetUp](acts) != 0 || count[Refuse](acts) != 1 {
+			t.Errorf("health %d: %v, want one Refuse", h, acts)
+		}
+		r.do(List{Entries: []Entry{{Address: "b:1", PointCode: 1, Launched: r.now}}})
+		if acts := r.call(1); r.sentTo(acts) != "b:1" {
+			t.Errorf("health %d: %v after a replacement, want a set-up to it", h, acts)
+		}
+	}
+	r := newRig(t, config(), 20)
+	r.do(List{Whole: true, Entries: []Entry{{Address: "a:2", PointCode: 2}}})
+	if acts := r.call(1); count[SetUp](acts) != 0 {
+		t.Errorf("an exchange missing from the whole list was sent to: %v", acts)
+	}
+}
+
+func TestColdBudget(t *testing.T) {
+	cfg := config()
+	r := newRig(t, cfg, 1e6)
+	x := r.c.exchanges[1]
+	x.usual, x.window = 4, 100
+	r.do(List{Entries: []Entry{{Address: "a:1", PointCode: 1, Launched: r.now}}})
+	x.window = 100
+	limit := cfg.FallMultiple * cfg.ColdShare * 4 * cfg.FallSpan.Seconds()
+	var sends []time.Duration
+	for i := range 1500 {
+		r.now += 5 * ms
+		acts := r.call(1, func(o *Offered) { o.Transit = i%2 == 0 })
+		if count[SetUp](acts) > 0 {
+			sends = append(sends, r.now)
+			r.do(Established{Call: r.id, Exchange: "a:1", Delay: 5 * ms})
+		}
+		if i%100 == 99 {
+			r.do(Timer{ID: stepTimer})
+		}
+	}
+	for i, from := range sends {
+		n := 0
+		for _, at := range sends[i:] {
+			if at < from+cfg.FallSpan {
+				n++
+			}
+		}
+		if float64(n) > limit {
+			t.Fatalf("%d set-ups within the span, the budget is %v", n, limit)
+		}
+	}
+	if len(sends) < 6 {
+		t.Errorf("only %d set-ups to the cold exchange", len(sends))
+	}
+}
+
+func TestTandems(t *testing.T) {
+	r := newRig(t, config(), 20)
+	r.group(1, 0)
+	first := r.sentTo(r.call(1))
+	if first != "a:2" && first != "a:3" {
+		t.Fatalf("sent to %q, want a tandem", first)
+	}
+	second := r.sentTo(r.returned(1, first, NotSetUp, TurnedBack))
+	if second == first || second == "" || second == "a:1" {
+		t.Fatalf("second attempt to %q, want the other tandem", second)
+	}
+	if acts := r.returned(1, second, NotSetUp, TurnedBackFull); count[Refuse](acts) != 1 {
+		t.Errorf("destination full: %v, want Refuse", acts)
+	}
+	r.group(2, keptForDirect)
+	r.group(3, keptForDirect)
+	if acts := r.call(1); count[SetUp](acts) != 0 {
+		t.Errorf("a tandem call took one of the last circuits: %v", acts)
+	}
+	if acts := r.call(2, func(o *Offered) { o.Transit = true }); count[Refuse](acts) != 1 {
+		t.Errorf("transit on the last circuits: %v, want Refuse", acts)
+	}
+}
+
+func TestHeldAtDestinationStaysOffTandems(t *testing.T) {
+	r := newRig(t, config(), 20)
+	r.c.exchanges[1].window = 1
+	r.call(1)
+	r.group(1, 0)
+	if acts := r.call(1); len(acts) != 0 {
+		t.Errorf("%v, want the call held at the destination's window", acts)
+	}
+	if acts := r.do(Established{Call: 1, Exchange: "a:1", Delay: 20 * ms}); count[SetUp](acts) != 1 {
+		t.Errorf("%v after the slot came free, want one set-up", acts)
+	}
+}
+
+func TestSilentExchangeGetsTrialsAndItsWindowBack(t *testing.T) {
+	r := newRig(t, config(), 20)
+	x := r.c.exchanges[1]
+	w := x.window
+	for range silentAfter {
+		r.call(1)
+	}
+	r.now += 1500 * ms
+	for id := range uint64(silentAfter) {
+		r.returned(id+1, "a:1", TimedOut, NoReason)
+	}
+	if acts := r.call(1); count[Refuse](acts) != 1 {
+		t.Fatalf("%v to a silent exchange, want Refuse", acts)
+	}
+	r.now += trialEvery
+	if acts := r.call(1); r.sentTo(acts) != "a:1" {
+		t.Fatalf("%v, want a trial", acts)
+	}
+	trial := r.id
+	if acts := r.call(1); count[SetUp](acts) != 0 {
+		t.Fatalf("%v, want one trial at a time", acts)
+	}
+	r.steps(4)
+	r.do(Established{Call: trial, Exchange: "a:1", Delay: 20 * ms})
+	if acts := r.call(1); r.sentTo(acts) != "a:1" || x.window < w {
+		t.Errorf("%v, window %v: want calls as before, window %v", acts, x.window, w)
+	}
+}
+
+func TestBusyNumberDoesNotCloseTheExchange(t *testing.T) {
+	r := newRig(t, config(), 20)
+	hot := func(o *Offered) { o.Number = "hot" }
+	r.call(1, hot)
+	if acts := r.returned(1, "a:1", Failed, NumberBusy); count[Refuse](acts) != 1 {
+		t.Fatalf("%v for a busy number, want Refuse", acts)
+	}
+	if acts := r.call(1, hot); count[SetUp](acts) != 0 {
+		t.Errorf("%v: the busy number was tried at once", acts)
+	}
+	if acts := r.call(1); r.sentTo(acts) != "a:1" {
+		t.Errorf("%v: another number of the exchange was held back", acts)
+	}
+}
+
+func TestReplayIsDeterministic(t *testing.T) {
+	day := func() (all []Action) {
+		r := newRig(t, config(), 6)
+		for i := range 3000 {
+			r.now += 7 * ms
+			all = append(all, r.call(1+i%3)...)
+			if i%5 == 0 {
+				all = append(all, r.group(1+i%3, float64(i%7))...)
+			}
+			if i%70 == 0 {
+				all = append(all, r.do(Timer{ID: stepTimer})...)
+			}
+			if i > 20 {
+				id := r.id - 20
+				if k := r.c.calls[id]; k != nil && k.to != nil {
+					all = append(all, r.returned(id, k.to.addr, Cause(i%8), Reason(i%6))...)
+				}
+			}
+		}
+		return all
+	}
+	a, b := day(), day()
+	if len(a) < 1000 || len(a) != len(b) {
+		t.Fatalf("%d and %d actions", len(a), len(b))
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			t.Fatalf("action %d differs: %v and %v", i, a[i], b[i])
+		}
+	}
+}
+
+func TestNonsenseSettings(t *testing.T) {
+	for name, change := range map[string]func(*Config){
+		"no classes":     func(c *Config) { c.Classes = nil },
+		"negative guard": func(c *Config) { c.Guard = -1 },
+		"no aim":         func(c *Config) { c.Classes = []Class{{}} },
+	} {
+		cfg := config()
+		change(&cfg)
+		if _, err := New(cfg); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// TestSize keeps the decision module within what its readers asked for.
+func TestSize(t *testing.T) {
+	text, err := os.ReadFile("brain.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if n := len([]rune(strings.ReplaceAll(line, "\t", "    "))); n > 110 {
+			t.Errorf("line %d has %d characters", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines that are not blank, 850 at most", lines)
+	}
+}
+
+// TestRedialKeepsItsAim: a caller who dials again has less of the aim left, though more time before its due.
+func TestRedialKeepsItsAim(t *testing.T) {
+	r := newRig(t, config(), 0)
+	same := func(o *Offered) { o.Number, o.Due = "n", r.now+8*time.Second }
+	r.call(1, same)
+	r.now += time.Second
+	if acts := r.do(Timer{ID: 1}); count[Refuse](acts) != 1 {
+		t.Fatalf("%v, want Refuse", acts)
+	}
+	r.now += time.Second
+	if acts := r.call(1, same); count[Refuse](acts) != 1 {
+		t.Errorf("%v: a redial past its aim was held for a circuit", acts)
+	}
+	if w := r.c.own.window; w != startWindow {
+		t.Errorf("own window %v after redials", w)
+	}
+}
+
+// TestNewestHeldFirst: with the oldest first every call would stand just after its aim.
+func TestNewestHeldFirst(t *testing.T) {
+	r := newRig(t, config(), 0)
+	r.call(1)
+	r.now += 100 * ms
+	r.call(1)
+	acts := r.group(1, 1)
+	if len(acts) != 1 || acts[0].(SetUp).Call != 2 {
+		t.Errorf("%v, want a set-up of call 2", acts)
+	}
+}
+
+// TestOwnSlowness: answers that are slow from all far exchanges press the own window, not theirs.
+func TestOwnSlowness(t *testing.T) {
+	slow := func(from ...int) (*rig, map[int]float64) {
+		r := newRig(t, config(), 1000)
+		for range 12 {
+			for i := 1; i <= 3; i++ {
+				delay := 20 * ms
+				for _, f := range from {
+					if f == i {
+						delay = 900 * ms
+					}
+				}
+				r.call(i)
+				r.do(Established{Call: r.id, Exchange: addresses[i], Delay: delay})
+			}
+			r.steps(1)
+		}
+		loads := map[int]float64{}
+		for _, x := range append([]*exchange{r.c.own}, r.c.order...) {
+			loads[x.code] = x.pressure / x.answers
+		}
+		return r, loads
+	}
+	if _, l := slow(2); l[2] < 0.9 || l[1] > 0.1 || l[0] > 0.1 {
+		t.Errorf("one slow exchange: loads %v", l)
+	}
+	if _, l := slow(1, 2, 3); l[0] < 0.9 || l[1] > 0.5 {
+		t.Errorf("all slow: loads %v", l)
+	}
+}
--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,278 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/umbergauge/umbergauge/brain"
+)
+
+// args are the values of one message. The first thing wrong with them stays in err.
+type args struct {
+	name string
+	v    []*fastjson.Value
+	err  error
+}
+
+// message parses one line.
+func (h *host) message(text []byte) (*args, error) {
+	v, err := h.parser.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %s", clip(string(text)))
+	}
+	list, err := v.Array()
+	if err != nil || len(list) == 0 || list[0].Type() != fastjson.TypeString {
+		return nil, errors.New("not a message: an array that begins with a name is wanted")
+	}
+	return &args{name: string(list[0].GetStringBytes()), v: list[1:]}, nil
+}
+
+// clip keeps foreign text short enough for a message of one line.
+func clip(s string) string {
+	if len(s) > 40 {
+		s = s[:40] + "..."
+	}
+	return fmt.Sprintf("%q", s)
+}
+
+func (a *args) fail(format string, values ...any) {
+	if a.err == nil {
+		a.err = fmt.Errorf(format, values...)
+	}
+}
+
+func (a *args) arity(n int) {
+	if len(a.v) < n {
+		a.fail("%s has %d values, %d are wanted", clip(a.name), len(a.v), n)
+	}
+}
+
+// value is value i, or nil where it is missing or null.
+func (a *args) value(i int) *fastjson.Value {
+	if i >= len(a.v) || a.v[i].Type() == fastjson.TypeNull {
+		return nil
+	}
+	return a.v[i]
+}
+
+// number reads an optional number.
+func (a *args) number(i int, missing float64) float64 {
+	v := a.value(i)
+	if v == nil {
+		return missing
+	}
+	f, err := v.Float64()
+	if err != nil || math.IsNaN(f) || math.Abs(f) > 1e15 {
+		a.fail("value %d of %s is not a fit number", i, clip(a.name))
+		return missing
+	}
+	return f
+}
+
+func (a *args) integer(i int) int64 {
+	if a.value(i) == nil {
+		a.fail("value %d of %s is missing", i, clip(a.name))
+		return 0
+	}
+	f := a.number(i, 0)
+	if f != math.Trunc(f) {
+		a.fail("value %d of %s is not a whole number", i, clip(a.name))
+	}
+	return int64(f)
+}
+
+// unsigned reads a whole number of up to 64 bits.
+func (a *args) unsigned(i int) uint64 {
+	v := a.value(i)
+	if v == nil {
+		a.fail("value %d of %s is missing", i, clip(a.name))
+		return 0
+	}
+	u, err := v.Uint64()
+	if err != nil {
+		a.fail("value %d of %s is not a whole number", i, clip(a.name))
+	}
+	return u
+}
+
+func (a *args) call(i int) uint64 {
+	id := a.unsigned(i)
+	if id >= 1<<32 {
+		a.fail("value %d of %s is no call id", i, clip(a.name))
+	}
+	return id
+}
+
+func (a *args) ms(i int) time.Duration {
+	if a.value(i) == nil {
+		a.fail("value %d of %s is missing", i, clip(a.name))
+		return 0
+	}
+	return millis(a.number(i, 0))
+}
+
+func millis(ms float64) time.Duration {
+	if math.Abs(ms) > 9e12 { // keeps within a Duration
+		ms = math.Copysign(9e12, ms)
+	}
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+func (a *args) text(i int) string {
+	v := a.value(i)
+	if v == nil || v.Type() != fastjson.TypeString {
+		a.fail("value %d of %s is not a text", i, clip(a.name))
+		return ""
+	}
+	return string(v.GetStringBytes())
+}
+
+func (a *args) optText(i int) string {
+	if a.value(i) == nil {
+		return ""
+	}
+	return a.text(i)
+}
+
+func (a *args) boolean(i int) bool {
+	v := a.value(i)
+	if v == nil || v.Type() != fastjson.TypeTrue && v.Type() != fastjson.TypeFalse {
+		a.fail("value %d of %s is not true or false", i, clip(a.name))
+		return false
+	}
+	return v.GetBool()
+}
+
+// healths maps the list's states.
+var healths = map[string]brain.Health{"Ready": brain.Ready, "Terminating": brain.Draining, "Gone": brain.Gone}
+
+func (a *args) entries(i int) []brain.Entry {
+	v := a.value(i)
+	if v == nil || v.Type() != fastjson.TypeArray {
+		a.fail("value %d of %s is not a list", i, clip(a.name))
+		return nil
+	}
+	items := v.GetArray()
+	entries := make([]brain.Entry, 0, len(items))
+	for _, item := range items {
+		e := &args{name: "entry", v: item.GetArray()}
+		e.arity(7)
+		if e.err == nil {
+			health, ok := healths[e.text(4)]
+			if !ok {
+				e.fail("unknown health %s", clip(e.text(4)))
+			}
+			entries = append(entries, brain.Entry{Address: e.text(5), PointCode: int(e.integer(6)), Health: health,
+				Launched: millis(e.number(1, 0))})
+		}
+		if e.err != nil {
+			a.fail("%s: %w", a.name, e.err)
+			return nil
+		}
+	}
+	return entries
+}
+
+// field sets one value of a load report.
+type field struct {
+	name string
+	set  func(*brain.Report, float64)
+}
+
+// reportFields maps the names that load reports may use.
+var reportFields = map[string]func(*brain.Report, float64){
+	"free":      func(r *brain.Report, f float64) { r.Free = f },
+	"size":      func(r *brain.Report, f float64) { r.Size = f },
+	"cpu_share": func(r *brain.Report, f float64) { r.Utilisation = f },
+	"pending":   func(r *brain.Report, f float64) { r.Queue = f },
+	"can_take":  func(r *brain.Report, f float64) { r.Rate = f },
+	"svc_ms":    func(r *brain.Report, f float64) { r.Wait = f / 1000 },
+	"hold_back": func(r *brain.Report, f float64) { r.HoldBack = f },
+}
+
+var unknownReport = brain.Report{Free: -1, Size: -1, Utilisation: -1, Queue: -1, Rate: -1, Wait: -1, HoldBack: -1}
+
+// report reads a load report, or nil where there is none.
+func (in *instance) report(a *args, i int) *brain.Report {
+	v := a.value(i)
+	if v == nil {
+		return nil
+	}
+	if v.Type() != fastjson.TypeObject {
+		a.fail("value %d of %s is not a load report", i, clip(a.name))
+		return nil
+	}
+	r := unknownReport
+	for _, f := range in.fields {
+		if x := v.Get(f.name); x != nil {
+			if n, err := x.Float64(); err == nil && n >= 0 && n < 1e15 {
+				f.set(&r, n)
+			}
+		}
+	}
+	return &r
+}
+
+// config translates the settings. Keys that are missing or null have the value zero unless stated here.
+func (a *args) config(i int) (brain.Config, []field) {
+	v := a.value(i)
+	if v == nil || v.Type() != fastjson.TypeObject {
+		a.fail("Hello has no settings")
+		return brain.Config{}, nil
+	}
+	num := func(v *fastjson.Value, missing float64, path ...string) float64 {
+		x := v.Get(path...)
+		if x == nil || x.Type() == fastjson.TypeNull {
+			return missing
+		}
+		f, err := x.Float64()
+		if err != nil || math.IsNaN(f) || math.Abs(f) > 1e15 {
+			a.fail("settings: %s is not a fit number", path[len(path)-1])
+		}
+		return f
+	}
+	cfg := brain.Config{
+		Self:           int(num(v, -1, "family_info", "self_no")),
+		Controllers:    int(num(v, 1, "replicas_of_me")),
+		Pools:          string(v.GetStringBytes("family_info", "shape")) == "pools",
+		AskForList:     string(v.GetStringBytes("discovery")) == "ask",
+		OverQuotaWorth: num(v, 1, "over_share_worth"),
+		MaxAttempts:    int(num(v, 1, "limits", "max_attempts")),
+		Guard:          millis(num(v, 0, "family_info", "guard")),
+		CanProbe:       v.GetBool("limits", "probes"),
+		WarmUp:         millis(num(v, 0, "obligations", "warm_up")),
+		ColdShare:      num(v, 1, "obligations", "cold_share"),
+		FallMultiple:   num(v, 1, "obligations", "fall_multiple"),
+		FallSpan:       millis(num(v, 0, "obligations", "overload_for")),
+	}
+	if v.GetBool("limits", "retry_after") {
+		cfg.MaxHoldOff = millis(num(v, 0, "limits", "max_retry_after"))
+	}
+	for n, c := range v.GetArray("request_classes") {
+		class := brain.Class{
+			Aim: millis(num(c, 0, "aim")), Worth: num(c, 1, "credit"), LateWorth: num(c, 0, "late_worth"),
+			MeanHold: millis(num(v, 0, "family_info", "mean_hold", fmt.Sprint(n))),
+			Circuits: num(v, 1, "family_info", "class_width", fmt.Sprint(n)),
+		}
+		class.Repeatable = string(c.GetStringBytes("idempotency")) == "read_like"
+		for _, p := range v.GetArray("family_info", "pools_by_class", fmt.Sprint(n)) {
+			class.Pools = append(class.Pools, p.GetInt())
+		}
+		cfg.Classes = append(cfg.Classes, class)
+	}
+	for _, t := range v.GetArray("accounts") {
+		cfg.Tenants = append(cfg.Tenants, brain.Tenant{Quota: num(t, 0, "quota_per_s")})
+	}
+	var fields []field
+	for _, f := range v.GetArray("feedback", "fields") {
+		name := string(f.GetStringBytes())
+		if set, ok := reportFields[name]; ok {
+			fields = append(fields, field{name, set})
+		}
+	}
+	return cfg, fields
+}
