--- a/brain/brain.go
+++ b/brain/brain.go
@@ -217,6 +217,9 @@
 			c.step()
 		} else if k := c.calls[ev.ID]; k != nil && k.phase == held {
 			c.place(k)
+			if k.phase == held { // a timer may come a little early: without another the call would be lost
+				c.wake(k)
+			}
 		}
 	}
 	out, c.out = c.out, nil
@@ -346,11 +349,17 @@
 	if waits < 0 {
 		at, _ := slices.BinarySearchFunc(c.waiting, k, before)
 		c.waiting = slices.Insert(c.waiting, at, k)
-		if k.earliest > c.now {
-			c.do(SetTimer{ID: k.Call, After: k.earliest - c.now})
-		}
-		c.do(SetTimer{ID: k.Call, After: k.holdUntil - c.now})
+		c.wake(k)
+	}
+}
+
+// wake sets the timer of a held call: for the end of its release wait, then for the end of its hold.
+func (c *Controller) wake(k *call) {
+	at := k.holdUntil
+	if k.earliest > c.now {
+		at = k.earliest
 	}
+	c.do(SetTimer{ID: k.Call, After: (at - c.now).Truncate(time.Millisecond) + time.Millisecond})
 }
 
 // before orders held calls: cut calls first, then high worth, then the newest. With the oldest first a
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -464,3 +464,18 @@
 		t.Errorf("all slow: loads %v", l)
 	}
 }
+
+// TestEarlyTimerLosesNoCall: a held call whose timer came early went without another timer, and was lost.
+func TestEarlyTimerLosesNoCall(t *testing.T) {
+	r := newRig(t, config(), 0)
+	r.call(1)
+	r.now += holdAtMost - time.Nanosecond
+	acts := r.c.Handle(r.now, Timer{ID: 1}, nil)
+	if count[SetTimer](acts) != 1 {
+		t.Fatalf("%v after an early timer, want another timer", acts)
+	}
+	r.now += acts[0].(SetTimer).After
+	if acts := r.do(Timer{ID: 1}); count[Refuse](acts) != 1 {
+		t.Errorf("%v, want the final answer", acts)
+	}
+}
