A full answer leaves its slot held for a second

One slot of 50 ms lets twenty futile set-ups a second through, and as the slots read Low, Table I cuts slowly. A slot that came back full now rests, so the second input reads High too.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -54,6 +54,7 @@
 	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
 	trialEvery  = time.Second             // between the trial calls to a silent exchange
 	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
+	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
@@ -74,12 +75,13 @@
 	health   Health
 	launched time.Duration
 
-	window  float64       // Wmax
-	held    int           // slots held now
-	heldSum time.Duration // slot time held in this step
-	heldAt  time.Duration // heldSum is kept up to here
-	heldAvg [2]float64    // mean slots held, last step and the one before
-	peak    int           // most slots held in this step
+	window  float64         // Wmax
+	held    int             // slots held now
+	heldSum time.Duration   // slot time held in this step
+	heldAt  time.Duration   // heldSum is kept up to here
+	heldAvg [2]float64      // mean slots held, last step and the one before
+	peak    int             // most slots held in this step
+	rests   []time.Duration // until when slots are held that came back full
 
 	answers, pressure float64 // decayed number of answers and the load that they showed
 	load              float64 // load by the last report
@@ -393,8 +395,18 @@
 // slots are the set-ups that the window of x lets out at once.
 func slots(x *exchange) int { return max(minSlots, int(x.window)) }
 
+// rested frees the slots whose rest is over. A full processor answers at once: without the rest its floor of
+// one slot would let through twenty set-ups a second, each of them work there for nothing.
+func (c *Controller) rested(x *exchange) {
+	for len(x.rests) > 0 && x.rests[0] <= c.now {
+		x.rests = x.rests[1:]
+		c.slot(x, -1)
+	}
+}
+
 // admits tells whether a first set-up may take a slot at x.
 func (c *Controller) admits(x *exchange) bool {
+	c.rested(x)
 	if x.silent { // no load, but no sign of life either: single trials
 		return len(x.out) == 0 && c.now >= x.trialAt
 	}
@@ -411,7 +423,7 @@
 		return nil, false
 	}
 	if k.Transit {
-		if !dest.silent && c.coldRoom(dest) && (!dest.grouped || dest.free >= k.Circuits+keptForDirect) {
+		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) && (!dest.grouped || dest.free >= k.Circuits+keptForDirect) {
 			return dest, false
 		}
 		return nil, false
@@ -582,6 +594,11 @@
 	}
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
+	if setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent {
+		c.slot(k.to, 1) // the slot of a full answer rests
+		k.to.rests = append(k.to.rests, c.now+max(fullRest, ev.Wait))
+		slices.Sort(k.to.rests)
+	}
 	c.answered(k)
 	if x != nil && setUp {
 		c.learn(k, x, direct, ev)
@@ -757,6 +774,7 @@
 
 // resize is the step of one window: Wmax += dW * Wmax, dW from Table I.
 func (c *Controller) resize(x *exchange) {
+	c.rested(x)
 	c.slot(x, 0)
 	x.heldAvg[1], x.heldAvg[0] = x.heldAvg[0], x.heldSum.Seconds()/stepEvery.Seconds()
 	peak := x.peak
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -479,3 +479,25 @@
 		t.Errorf("%v, want the final answer", acts)
 	}
 }
+
+// TestFullAnswersRestTheirSlot: a full processor answers at once and was sent twenty set-ups a second.
+func TestFullAnswersRestTheirSlot(t *testing.T) {
+	r := newRig(t, config(), 1000)
+	x := r.c.exchanges[1]
+	x.window = 1
+	sent := 0
+	for range 100 {
+		r.now += 50 * ms
+		if r.sentTo(r.call(1)) != "" {
+			sent++
+			r.returned(r.id, "a:1", NotSetUp, ProcessorFull)
+		}
+	}
+	if sent > 6 {
+		t.Errorf("%d set-ups in 5 s to a processor that is full", sent)
+	}
+	r.now += fullRest
+	if r.sentTo(r.call(1)) != "a:1" || x.held != 1 {
+		t.Errorf("%d slots held after the rest, want the one in use", x.held)
+	}
+}
