--- a/brain/brain.go
+++ b/brain/brain.go
@@ -423,7 +423,8 @@
 		return nil, false
 	}
 	if k.Transit {
-		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) && (!dest.grouped || dest.free >= k.Circuits+keptForDirect) {
+		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) &&
+			(!dest.grouped || dest.free >= k.Circuits+keptForDirect) {
 			return dest, false
 		}
 		return nil, false
@@ -453,6 +454,9 @@
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
 		}
+		if t.code == k.Advised {
+			return t, true
+		}
 		if h := c.hash(k.Call, t.code); choice == nil || h < least {
 			choice, least = t, h
 		}
