A window cut by a short pause regrows by its starting size

Told from a lasting overload by the answer times, which were short again while calls were still refused. While the load reads below Medium's peak a window under its starting size is now measured by that size. Holds after any pause, hang, cut or cold start; may let a processor whose load is not seen refill faster than Table I alone would.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -76,6 +76,7 @@
 	launched time.Duration
 
 	window  float64         // Wmax
+	start   float64         // Wmax at the start
 	held    int             // slots held now
 	heldSum time.Duration   // slot time held in this step
 	heldAt  time.Duration   // heldSum is kept up to here
@@ -181,7 +182,7 @@
 		}
 		c.best = max(c.best, cl.Worth)
 	}
-	c.own = &exchange{code: cfg.Self, window: startWindow}
+	c.own = &exchange{code: cfg.Self, window: startWindow, start: startWindow}
 	return c, nil
 }
 
@@ -247,7 +248,8 @@
 		if x == nil {
 			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
 				launched: e.Launched, heldAt: c.now, turned: map[int]time.Duration{},
-				window: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
+				start: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
+			x.window = x.start
 			c.exchanges[e.PointCode] = x
 			at, _ := slices.BinarySearchFunc(c.order, x, func(a, b *exchange) int { return a.code - b.code })
 			c.order = slices.Insert(c.order, at, x)
@@ -795,7 +797,13 @@
 		return
 	}
 	full := float64(slots(x))
-	change := deltaW(load, min(1, (x.heldAvg[0]+x.heldAvg[1])/2/full))
+	share := full
+	if load < setMid {
+		// A window that a short pause has cut has all its few slots held, which reads High though nothing is
+		// wrong, and Table I would keep it shut. Under its starting size it is measured by that size.
+		share = max(full, x.start)
+	}
+	change := deltaW(load, min(1, (x.heldAvg[0]+x.heldAvg[1])/2/share))
 	if change > 0 && float64(peak) < full-1 {
 		return // it grows only when its slots were nearly all used
 	}
