--- a/brain/api.go
+++ b/brain/api.go
@@ -17,6 +17,7 @@
 
 	MaxAttempts int           // attempts allowed for one call
 	Guard       time.Duration // release wait after a time-out, reset or cancel
+	Repeat      time.Duration // a set-up that waits at a processor is sent again after this; 0: never
 	MaxHoldOff  time.Duration // longest wait that callers may be asked for; 0: none
 	CanProbe    bool          // Probe may be used
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -155,6 +155,7 @@
 	waiting    []*call
 	numbers    map[string]*number
 	aim        time.Duration // shortest aim of all classes
+	slow       time.Duration // an answer that takes so long reads as full load
 	best       float64       // highest worth of a class
 	ownWait    time.Duration // wait at the own processor
 	answerTime time.Duration // usual time of an answer
@@ -182,6 +183,10 @@
 		}
 		c.best = max(c.best, cl.Worth)
 	}
+	c.slow = time.Duration(slowShare * float64(c.aim))
+	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
+		c.slow = min(c.slow, cfg.Repeat)
+	}
 	c.own = &exchange{code: cfg.Self, window: startWindow, start: startWindow}
 	return c, nil
 }
@@ -327,7 +332,7 @@
 // evidence notes an answer of x that took d.
 func (c *Controller) evidence(x *exchange, d time.Duration) {
 	x.answers++
-	x.pressure += min(1, max(0, d.Seconds()/(slowShare*c.aim.Seconds())))
+	x.pressure += min(1, max(0, d.Seconds()/c.slow.Seconds()))
 }
 
 // place sends a call, holds it or refuses it.
@@ -704,7 +709,7 @@
 		x.free, x.size, x.grouped = r.Free, r.Size, true
 	}
 	load := r.Utilisation
-	slow := slowShare * c.aim.Seconds()
+	slow := c.slow.Seconds()
 	if r.Wait >= 0 {
 		load = max(load, min(1, r.Wait/slow))
 	} else if r.Queue >= 0 && r.Rate > 0 {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -243,6 +243,7 @@
 		OverQuotaWorth: num(v, 1, "over_share_worth"),
 		MaxAttempts:    int(num(v, 1, "limits", "max_attempts")),
 		Guard:          millis(num(v, 0, "family_info", "guard")),
+		Repeat:         millis(num(v, 0, "family_info", "repeat")),
 		CanProbe:       v.GetBool("limits", "probes"),
 		WarmUp:         millis(num(v, 0, "obligations", "warm_up")),
 		ColdShare:      num(v, 1, "obligations", "cold_share"),
