--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,6 +19,7 @@
 	stepEvery = 500 * time.Millisecond // between two steps of the windows
 	// slots at start, shared by all senders to a processor (Little's law)
 	startWindow   = 20.0
+	ownStart      = 6.0         // own window at start: a few times what a processor keeps busy (Little)
 	maxWindow     = 200.0       // ceiling of a window
 	minSlots      = 1           // a window always lets one set-up through
 	holdAtMost    = time.Second // a call without a slot or circuit waits no longer
@@ -187,7 +188,7 @@
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
-	c.own = &exchange{code: cfg.Self, window: startWindow, start: startWindow}
+	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
 
