--- a/brain/brain.go
+++ b/brain/brain.go
@@ -547,7 +547,7 @@
 	if k.mayRun && !c.cfg.Classes[k.Class].Repeatable {
 		return Fail{Call: k.Call}
 	}
-	return Refuse{Call: k.Call, HoldOff: c.cfg.MaxHoldOff}
+	return Refuse{Call: k.Call}
 }
 
 // end closes a call, with its final answer unless that has been given. No other place does.
