--- a/brain/brain.go
+++ b/brain/brain.go
@@ -403,26 +403,6 @@
 // slots are the set-ups that the window of x lets out at once.
 func slots(x *exchange) int { return max(minSlots, int(x.window)) }
 
-// rest keeps one more slot of x held for d.
-func (c *Controller) rest(x *exchange, d time.Duration) {
-	c.slot(x, 1)
-	x.rests = append(x.rests, c.now+d)
-	slices.Sort(x.rests)
-}
-
-// restSlow lets the slots of a slow answer rest as long as it took, where the window is at its floor: floors of
-// all senders together can keep a processor jammed: a slot each is seconds of queue when every answer is slow.
-func (c *Controller) restSlow(k *call, d time.Duration) {
-	if d < c.slow {
-		return
-	}
-	for _, x := range []*exchange{k.to, c.own} {
-		if slots(x) == minSlots && !x.silent {
-			c.rest(x, d)
-		}
-	}
-}
-
 // rested frees the slots whose rest is over. A full processor answers at once: without the rest its floor of
 // one slot would let through twenty set-ups a second, each of them work there for nothing.
 func (c *Controller) rested(x *exchange) {
@@ -464,7 +444,6 @@
 	if dest.silent && !c.admits(dest) {
 		return nil, false
 	}
-	c.rested(c.own)
 	if !c.admits(dest) || c.own.held >= slots(c.own) {
 		return nil, true
 	}
@@ -605,7 +584,6 @@
 	c.alive(x)
 	if x.code == k.Destination {
 		c.evidence(x, ev.Delay-c.ownWait)
-		c.restSlow(k, ev.Delay)
 		x.delays, x.delayed = x.delays+ev.Delay, x.delayed+1
 	} else if d := c.exchanges[k.Destination]; d != nil {
 		c.alive(d)
@@ -629,9 +607,9 @@
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
 	if setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent {
-		c.rest(k.to, max(fullRest, ev.Wait))
-	} else if setUp && k.slotted && ev.Cause == TimedOut {
-		c.restSlow(k, ev.Delay)
+		c.slot(k.to, 1) // the slot of a full answer rests
+		k.to.rests = append(k.to.rests, c.now+max(fullRest, ev.Wait))
+		slices.Sort(k.to.rests)
 	}
 	c.answered(k)
 	if x != nil && setUp {
