One slot beyond the window for worthier and cut calls

Calls of higher worth, and cut calls coming again, may take one slot beyond the window; the least class keeps all of the window, so none starves.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,7 @@
 
 // Routes and circuits.
 const (
+	slotsForPrior = 1 // slots beyond the window for calls of higher worth and cut calls
 	maxTandems    = 2 // tandems tried for a call
 	keptForDirect = 2 // circuits of a group that transit and tandem calls leave free
 	// a tandem that turned a call back is skipped for that destination so long
@@ -157,7 +158,7 @@
 	numbers    map[string]*number
 	aim        time.Duration // shortest aim of all classes
 	slow       time.Duration // an answer that takes so long reads as full load
-	best       float64       // highest worth of a class
+	least      float64       // lowest worth of a class
 	ownWait    time.Duration // wait at the own processor
 	answerTime time.Duration // usual time of an answer
 }
@@ -182,7 +183,9 @@
 		if c.aim == 0 || cl.Aim < c.aim {
 			c.aim = cl.Aim
 		}
-		c.best = max(c.best, cl.Worth)
+		if i == 0 || cl.Worth < c.least {
+			c.least = cl.Worth
+		}
 	}
 	c.slow = time.Duration(slowShare * float64(c.aim))
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
@@ -413,12 +416,22 @@
 }
 
 // admits tells whether a first set-up may take a slot at x.
-func (c *Controller) admits(x *exchange) bool {
+func (c *Controller) admits(x *exchange, k *call) bool {
 	c.rested(x)
 	if x.silent { // no load, but no sign of life either: single trials
 		return len(x.out) == 0 && c.now >= x.trialAt
 	}
-	return x.held < slots(x) && c.coldRoom(x)
+	limit := slots(x)
+	if c.prior(k) {
+		limit += slotsForPrior
+	}
+	return x.held < limit && c.coldRoom(x)
+}
+
+// prior tells whether a call goes before others when room is short: it was cut and comes again, or its
+// worth is above that of other classes.
+func (c *Controller) prior(k *call) bool {
+	return !k.late && (k.CutBefore || k.worth > c.least)
 }
 
 // route chooses where a call goes next, or nil; wait tells whether it may be held for a slot or circuit.
@@ -441,10 +454,10 @@
 		(n.out >= maxPerBusy || c.now < n.busyAt+busyHold) {
 		return nil, false
 	}
-	if dest.silent && !c.admits(dest) {
+	if dest.silent && !c.admits(dest, k) {
 		return nil, false
 	}
-	if !c.admits(dest) || c.own.held >= slots(c.own) {
+	if !c.admits(dest, k) || !c.admits(c.own, k) {
 		return nil, true
 	}
 	if !dest.grouped || dest.free >= k.Circuits {
@@ -457,7 +470,7 @@
 	var least uint64
 	for _, t := range c.order {
 		turned := t.turned[dest.code]
-		if t == dest || t.health != Ready || t.silent || c.cold(t) || !c.admits(t) || !t.grouped ||
+		if t == dest || t.health != Ready || t.silent || c.cold(t) || !c.admits(t, k) || !t.grouped ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -501,3 +501,25 @@
 		t.Errorf("%d slots held after the rest, want the one in use", x.held)
 	}
 }
+
+// TestPriorCallsGetOneMoreSlot: in a jam every slot was held by calls of the least worth.
+func TestPriorCallsGetOneMoreSlot(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(*Offered)
+		sent   bool
+	}{
+		"ordinary": {func(o *Offered) {}, false},
+		"worthier": {func(o *Offered) { o.Class = 1 }, true},
+		"cut":      {func(o *Offered) { o.CutBefore = true }, true},
+	} {
+		r := newRig(t, config(), 100)
+		r.c.exchanges[1].window = 1
+		r.call(1)
+		if got := r.sentTo(r.call(1, tc.change)) != ""; got != tc.sent {
+			t.Errorf("%s call beyond the window: sent %v, want %v", name, got, tc.sent)
+		}
+		if r.sentTo(r.call(1, tc.change)) != "" {
+			t.Errorf("%s call: a second slot beyond the window", name)
+		}
+	}
+}
