Late calls leave the last two circuits of the direct group

Cause: a redial whose aim has passed earns a quarter or less, yet held a circuit for ten seconds that a fresh call would have used in full. Late calls are now kept off as tandem calls are. May hurt where nearly all calls are late.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -460,7 +460,7 @@
 	if !c.admits(dest, k) || !c.admits(c.own, k) {
 		return nil, true
 	}
-	if !dest.grouped || dest.free >= k.Circuits {
+	if !dest.grouped || dest.free >= k.Circuits+c.kept(k) {
 		return dest, true
 	}
 	if k.tandems >= maxTandems {
@@ -485,6 +485,14 @@
 	return choice, true
 }
 
+// kept is the trunk reservation on the direct route: circuits that a call leaves free for others.
+func (c *Controller) kept(k *call) float64 {
+	if k.late {
+		return keptForDirect
+	}
+	return 0
+}
+
 // hash orders the tandems of a call.
 func (c *Controller) hash(id uint64, code int) uint64 {
 	h := c.cfg.Seed ^ id*0x9e3779b97f4a7c15 ^ uint64(code+1)*0xc2b2ae3d27d4eb4f
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -523,3 +523,20 @@
 		}
 	}
 }
+
+// TestLateCallsLeaveCircuits: redials past their aim took circuits that fresh calls would have used in time.
+func TestLateCallsLeaveCircuits(t *testing.T) {
+	r := newRig(t, config(), 0)
+	same := func(o *Offered) { o.Number, o.Due = "n", r.now+8*time.Second }
+	r.call(1, same)
+	r.now += time.Second
+	r.do(Timer{ID: 1})
+	r.now += time.Second
+	r.group(1, keptForDirect)
+	if acts := r.call(1, same); count[SetUp](acts) != 0 {
+		t.Errorf("%v: a late call took one of the last circuits", acts)
+	}
+	if acts := r.call(1); r.sentTo(acts) != "a:1" {
+		t.Errorf("%v: a fresh call did not get the circuit", acts)
+	}
+}
