--- a/brain/brain.go
+++ b/brain/brain.go
@@ -463,7 +463,7 @@
 	if !dest.grouped || dest.free >= k.Circuits+c.kept(k) {
 		return dest, true
 	}
-	if k.tandems >= maxTandems {
+	if k.tandems >= maxTandems || k.late {
 		return nil, true
 	}
 	var choice *exchange
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -536,6 +536,11 @@
 	if acts := r.call(1, same); count[SetUp](acts) != 0 {
 		t.Errorf("%v: a late call took one of the last circuits", acts)
 	}
+	r.group(1, 0)
+	if acts := r.call(1, same); count[SetUp](acts) != 0 {
+		t.Errorf("%v: a late call took circuits of two groups", acts)
+	}
+	r.group(1, keptForDirect)
 	if acts := r.call(1); r.sentTo(acts) != "a:1" {
 		t.Errorf("%v: a fresh call did not get the circuit", acts)
 	}
