--- a/brain/brain.go
+++ b/brain/brain.go
@@ -88,7 +88,6 @@
 
 	answers, pressure float64 // decayed number of answers and the load that they showed
 	load              float64 // load by the last report
-	seen              float64 // first input of the last step
 	loadAt            time.Duration
 	free, size        float64
 	grouped           bool // the trunk group's state is known
@@ -569,10 +568,6 @@
 	if k.mayRun && !c.cfg.Classes[k.Class].Repeatable {
 		return Fail{Call: k.Call}
 	}
-	if c.own.seen > setLow {
-		// Looking at a call is work at the own processor: redials in a jam would keep it in the jam.
-		return Refuse{Call: k.Call, HoldOff: c.cfg.MaxHoldOff}
-	}
 	return Refuse{Call: k.Call}
 }
 
@@ -825,7 +820,6 @@
 		load = max(load, x.load)
 	}
 	x.answers, x.pressure = x.answers*pressureDecay, x.pressure*pressureDecay
-	x.seen = load
 	if x.silent { // silence is no load: the window waits as it was
 		return
 	}
