--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,9 +42,10 @@
 
 // Routes and circuits.
 const (
-	slotsForPrior = 1 // slots beyond the window for calls of higher worth and cut calls
-	maxTandems    = 2 // tandems tried for a call
-	keptForDirect = 2 // circuits of a group that transit and tandem calls leave free
+	slotsForPrior = 1    // slots beyond the window for calls of higher worth and cut calls
+	quotaBurst    = 15.0 // calls that a tenant may have in hand of its quota
+	maxTandems    = 2    // tandems tried for a call
+	keptForDirect = 2    // circuits of a group that transit and tandem calls leave free
 	// a tandem that turned a call back is skipped for that destination so long
 	turnedBackKept = 2 * time.Second
 )
@@ -132,7 +133,7 @@
 	slotted   bool      // it holds a slot at to and at the own exchange
 	sentAt    time.Duration
 	mayRun    bool // an attempt may have been carried out
-	late      bool // its aim cannot be met any more
+	low       bool // it earns little: its aim cannot be met, or its tenant is beyond its quota
 }
 
 // number is the evidence on one dialled number.
@@ -159,6 +160,7 @@
 	aim        time.Duration // shortest aim of all classes
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
+	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
 	answerTime time.Duration // usual time of an answer
 }
@@ -175,7 +177,7 @@
 		return nil, errors.New("a negative share or number")
 	}
 	c := &Controller{cfg: cfg, exchanges: map[int]*exchange{}, byAddr: map[string]*exchange{},
-		calls: map[uint64]*call{}, numbers: map[string]*number{}}
+		calls: map[uint64]*call{}, numbers: map[string]*number{}, credit: make([]float64, len(cfg.Tenants))}
 	for i, cl := range cfg.Classes {
 		if cl.Aim <= 0 || cl.Worth < 0 {
 			return nil, fmt.Errorf("class %d: the aim must be positive and the worth not negative", i)
@@ -187,6 +189,9 @@
 			c.least = cl.Worth
 		}
 	}
+	for i := range c.credit {
+		c.credit[i] = quotaBurst
+	}
 	c.slow = time.Duration(slowShare * float64(c.aim))
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
@@ -325,14 +330,40 @@
 	} else if n != nil && !ev.CutBefore && n.refusedAt > 0 && c.now < n.refusedAt+redialKept {
 		k.aimEnd = n.aimEnd // dialled again: the aim runs from the first try
 	}
-	k.late = c.now+c.answerTime >= k.aimEnd
-	if k.late {
+	k.low = c.now+c.answerTime >= k.aimEnd
+	if k.low {
 		k.worth *= cl.LateWorth
 	}
+	if !ev.Transit && k.aimEnd == c.now+cl.Aim && c.overQuota(ev.Tenant) {
+		k.low = true
+		k.worth *= c.cfg.OverQuotaWorth
+	}
 	k.holdUntil = min(c.now+holdAtMost, k.aimEnd-c.answerTime, ev.Due-answerSpare)
 	c.place(k)
 }
 
+// overQuota counts a first try of a tenant and tells whether it is beyond its quota. A controller does not
+// see what tenants send elsewhere, so each may have the part of the own traffic that its quota is of all.
+func (c *Controller) overQuota(tenant int) bool {
+	if len(c.cfg.Tenants) < 2 || tenant < 0 || tenant >= len(c.cfg.Tenants) {
+		return false
+	}
+	var all float64
+	for _, t := range c.cfg.Tenants {
+		all += t.Quota
+	}
+	for i, t := range c.cfg.Tenants {
+		if all > 0 {
+			c.credit[i] = min(quotaBurst, c.credit[i]+t.Quota/all)
+		}
+	}
+	if c.credit[tenant] < 1 {
+		return true
+	}
+	c.credit[tenant]--
+	return false
+}
+
 // evidence notes an answer of x that took d.
 func (c *Controller) evidence(x *exchange, d time.Duration) {
 	x.answers++
@@ -431,7 +462,7 @@
 // prior tells whether a call goes before others when room is short: it was cut and comes again, or its
 // worth is above that of other classes.
 func (c *Controller) prior(k *call) bool {
-	return !k.late && (k.CutBefore || k.worth > c.least)
+	return !k.low && (k.CutBefore || k.worth > c.least)
 }
 
 // route chooses where a call goes next, or nil; wait tells whether it may be held for a slot or circuit.
@@ -463,7 +494,7 @@
 	if !dest.grouped || dest.free >= k.Circuits+c.kept(k) {
 		return dest, true
 	}
-	if k.tandems >= maxTandems || k.late {
+	if k.tandems >= maxTandems || k.low {
 		return nil, true
 	}
 	var choice *exchange
@@ -487,7 +518,7 @@
 
 // kept is the trunk reservation on the direct route: circuits that a call leaves free for others.
 func (c *Controller) kept(k *call) float64 {
-	if k.late {
+	if k.low {
 		return keptForDirect
 	}
 	return 0
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -545,3 +545,77 @@
 		t.Errorf("%v: a fresh call did not get the circuit", acts)
 	}
 }
+
+// TestTenantsWithinTheirQuota: a tenant that offers far more than its part ranks low, the other does not.
+func TestTenantsWithinTheirQuota(t *testing.T) {
+	cfg := config()
+	cfg.OverQuotaWorth, cfg.Tenants = 0.1, []Tenant{{Quota: 5}, {Quota: 5}}
+	r := newRig(t, cfg, keptForDirect)
+	sent := [2]int{}
+	for i := range 200 {
+		r.now += 20 * ms
+		tenant := min(1, i%10) // one call in ten is of tenant 0
+		r.group(1, keptForDirect)
+		if r.sentTo(r.call(1, func(o *Offered) { o.Tenant, o.Number = tenant, string(rune('A'+i)) })) != "" {
+			sent[tenant]++
+			r.do(Established{Call: r.id, Exchange: "a:1", Delay: 20 * ms})
+		}
+	}
+	if sent[0] != 20 || sent[1] > 120 {
+		t.Errorf("%v set-ups of 20 and 180 calls: the quota does not tell", sent)
+	}
+}
+
+// TestAdviceIsNotTrustedTwice: the advised tandem goes first, but not after it has turned a call back.
+func TestAdviceIsNotTrustedTwice(t *testing.T) {
+	r := newRig(t, config(), 20)
+	r.group(1, 0)
+	r.c.own.window = 50
+	for advised, want := range map[int]string{2: "a:2", 3: "a:3"} {
+		if got := r.sentTo(r.call(1, func(o *Offered) { o.Advised = advised })); got != want {
+			t.Errorf("advised %d: sent to %s", advised, got)
+		}
+	}
+	r.call(1, func(o *Offered) { o.Advised = 2 })
+	r.returned(r.id, "a:2", NotSetUp, TurnedBack)
+	if got := r.sentTo(r.call(1, func(o *Offered) { o.Advised = 2 })); got == "a:2" {
+		t.Error("stale advice was followed again at once")
+	}
+	for _, bad := range []int{0, 1, 99, -1} { // the own exchange, the destination, none
+		if got := r.sentTo(r.call(1, func(o *Offered) { o.Advised = bad })); got != "a:3" {
+			t.Errorf("advised %d: sent to %q", bad, got)
+		}
+	}
+}
+
+// TestOddEvents: figures that jump, answers after the end and word of unknown ones change nothing and break nothing.
+func TestOddEvents(t *testing.T) {
+	r := newRig(t, config(), 20)
+	r.call(1)
+	r.now += 1500 * ms
+	r.returned(1, "a:1", TimedOut, NoReason)
+	for name, ev := range map[string]Event{
+		"late answer":        Established{Call: 1, Exchange: "a:1", Delay: 2 * time.Second},
+		"unknown call":       Returned{Call: 99, Exchange: "a:1", Cause: Completed, Final: true},
+		"unknown exchange":   Status{Exchange: "x", OK: true},
+		"unknown timer":      Timer{ID: 77},
+		"unknown release":    Released{Call: 99},
+		"list not to be had": List{Failed: true},
+	} {
+		if acts := r.do(ev); len(acts) != 0 {
+			t.Errorf("%s: %v", name, acts)
+		}
+	}
+	for i := range 50 { // a flapping list and jumping circuits
+		r.now += 100 * ms
+		r.do(List{Entries: []Entry{{Address: "a:1", PointCode: 1, Health: Health(i % 3)}}})
+		r.group(1, float64(i%2)*1e9)
+		if got := r.sentTo(r.call(1)); got != "" && i%3 != 0 {
+			t.Errorf("health %d: sent to %q", i%3, got)
+		}
+		r.do(Released{Call: r.id})
+	}
+	if n := len(r.c.waiting); n != 0 {
+		t.Errorf("%d calls still held", n)
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,74 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const hello = `["Hello",3,7,{"family_info":{"self_no":0,"guard":200,"shape":"mesh","mean_hold":[10000],` +
+	`"class_width":[1]},"feedback":{"fields":["free","size","new_thing"],"how":"inline"},"limits":{"max_attempts":4},` +
+	`"replicas_of_me":2,"unknown":{"x":[1]},"request_classes":[{"aim":1500,"credit":1,"idempotency":"read_like"}]}]`
+
+const pool = `["Pool",0,[[0,null,0,1,"Ready","10.0.0.1:1",0],[1,6100.0,0,1.5,"Ready","10.0.0.2:2",1]]]`
+
+const demand = `["Demand",3,1564119492,null,1,12000.5,null,0,"tel-1",1,0,0]`
+
+func batch(lines ...string) string {
+	return "[\"Clock\",9000.25,1]\n" + strings.Join(lines, "\n") + "\n[\"OverToYou\"]\n"
+}
+
+func TestServe(t *testing.T) {
+	start := batch(hello, pool, `["Targets",3,"C",0,0]`, `["Echo",3,0,"10.0.0.2:2",0,{"free":5,"size":9}]`, demand)
+	set := `["Send",3,1564119492,1500,"10.0.0.2:2"]`
+	for name, tc := range map[string]struct{ in, out, err string }{
+		"nothing":      {"", "", ""},
+		"empty batch":  {batch(), `["Ack",1]`, ""},
+		"a call":       {start, set, ""},
+		"after death":  {start + batch(`["PowerOff",3]`, hello), `["Ack",1]`, ""},
+		"standing":     {start + batch(`["Established",3,1564119492,9.5,"10.0.0.2:2",0]`), set, ""},
+		"ended":        {start + batch(`["Returned",3,1564119492,true,9.5,0,null,0,"10.0.0.2:2",null]`), set, ""},
+		"mail":         {start + batch(`["Mail",3,1,"hi"]`), set, ""},
+		"not JSON":     {"[\"Clock\",1", "", "line 1: not JSON"},
+		"no message":   {"{}\n", "", "not a message"},
+		"outside":      {demand + "\n", "", "outside a batch"},
+		"mid-batch":    {"[\"Clock\",1,1]\n", "", "mid-batch"},
+		"arity":        {batch(`["Demand",3]`), "", "unknown controller"},
+		"arity known":  {start + batch(`["Demand",3,1]`), "", "values"},
+		"unknown name": {start + batch(`["What",3]`), "", "unknown message"},
+		"unknown call": {start + batch(`["Established",3,5,1,"10.0.0.2:2",0]`), "", "unknown call"},
+		"unknown code": {start + batch(`["Returned",3,1564119492,true,1,0,null,77,"10.0.0.2:2",null]`), "", "code 77"},
+		"unknown form": {start + batch(`["Targets",3,"Q",0,0]`), "", "unknown form"},
+		"unknown page": {start + batch(`["Targets",3,"F",0,9]`), "", "never sent"},
+		"bad health":   {batch(`["Pool",0,[[0,null,0,1,"Odd","a:1",0]]]`), "", "unknown health"},
+		"no settings":  {batch(`["Hello",3,7,null]`), "", "no settings"},
+		"no classes":   {batch(`["Hello",3,7,{}]`), "", "no call classes"},
+		"negative":     {batch(strings.Replace(hello, `"guard":200`, `"guard":-1`, 1)), "", "negative"},
+		"huge number":  {batch(strings.Replace(hello, `"guard":200`, `"guard":1e300`, 1)), "", "fit number"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := Serve(strings.NewReader(tc.in), &out)
+			if tc.err == "" && err != nil || tc.err != "" && (err == nil || !strings.Contains(err.Error(), tc.err)) {
+				t.Fatalf("error %v, want %q", err, tc.err)
+			}
+			if err != nil && strings.Contains(err.Error(), "\n") {
+				t.Errorf("the message has several lines: %q", err)
+			}
+			if !strings.Contains(out.String(), tc.out) {
+				t.Errorf("answered %q, want %q", out.String(), tc.out)
+			}
+		})
+	}
+}
+
+func FuzzServe(f *testing.F) {
+	f.Add(batch(hello, pool, `["Targets",3,"C",0,0]`, demand))
+	f.Add(batch(hello, pool, `["Targets",3,"D",0,0]`, demand, `["Wake",3,1564119492]`, `["Dropped",3,1564119492]`))
+	f.Add(batch(hello, `["Returned",3,1,false,1,0,18,8,"a:1",{"free":-1}]`))
+	f.Add("[\"Clock\",1e15,18446744073709551615]\n[\"OverToYou\"]\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		var out bytes.Buffer
+		_ = Serve(strings.NewReader(in), &out) // any input may be refused, none may panic
+	})
+}
