Tandems that are pressed or have timed out are skipped

A tandem whose load does not read Low is skipped, and one where an attempt timed out is, for that destination, for two seconds. The unused hold-off is gone from the interface.

--- a/brain/api.go
+++ b/brain/api.go
@@ -18,7 +18,6 @@
 	MaxAttempts int           // attempts allowed for one call
 	Guard       time.Duration // release wait after a time-out, reset or cancel
 	Repeat      time.Duration // a set-up that waits at a processor is sent again after this; 0: never
-	MaxHoldOff  time.Duration // longest wait that callers may be asked for; 0: none
 	CanProbe    bool          // Probe may be used
 
 	WarmUp       time.Duration // an exchange is warm so long after its start
@@ -172,11 +171,8 @@
 		Exchange string
 		TimeOut  time.Duration
 	}
-	// Refuse is the final answer that a call is rejected; HoldOff above 0 asks the caller to wait so long.
-	Refuse struct {
-		Call    uint64
-		HoldOff time.Duration
-	}
+	// Refuse is the final answer that a call is rejected.
+	Refuse struct{ Call uint64 }
 	// Fail is the final answer that a call is given up.
 	Fail struct{ Call uint64 }
 	// Probe asks an exchange for a sign of life.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 package brain
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -89,6 +90,7 @@
 
 	answers, pressure float64 // decayed number of answers and the load that they showed
 	load              float64 // load by the last report
+	seen              float64 // first input of the last step
 	loadAt            time.Duration
 	free, size        float64
 	grouped           bool // the trunk group's state is known
@@ -170,24 +172,18 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("no call classes")
 	}
-	if cfg.Guard < 0 || cfg.MaxHoldOff < 0 || cfg.WarmUp < 0 || cfg.FallSpan < 0 {
-		return nil, errors.New("a negative time")
+	if min(cfg.Guard, cfg.Repeat, cfg.WarmUp, cfg.FallSpan) < 0 ||
+		min(cfg.ColdShare, cfg.FallMultiple, float64(cfg.MaxAttempts), float64(cfg.Controllers)) < 0 {
+		return nil, errors.New("a negative time, share or number")
 	}
-	if cfg.ColdShare < 0 || cfg.FallMultiple < 0 || cfg.MaxAttempts < 0 || cfg.Controllers < 0 {
-		return nil, errors.New("a negative share or number")
-	}
-	c := &Controller{cfg: cfg, exchanges: map[int]*exchange{}, byAddr: map[string]*exchange{},
+	c := &Controller{cfg: cfg, aim: math.MaxInt64, least: math.MaxFloat64,
+		exchanges: map[int]*exchange{}, byAddr: map[string]*exchange{},
 		calls: map[uint64]*call{}, numbers: map[string]*number{}, credit: make([]float64, len(cfg.Tenants))}
 	for i, cl := range cfg.Classes {
 		if cl.Aim <= 0 || cl.Worth < 0 {
 			return nil, fmt.Errorf("class %d: the aim must be positive and the worth not negative", i)
 		}
-		if c.aim == 0 || cl.Aim < c.aim {
-			c.aim = cl.Aim
-		}
-		if i == 0 || cl.Worth < c.least {
-			c.least = cl.Worth
-		}
+		c.aim, c.least = min(c.aim, cl.Aim), min(c.least, cl.Worth)
 	}
 	for i := range c.credit {
 		c.credit[i] = quotaBurst
@@ -409,18 +405,14 @@
 // before orders held calls: cut calls first, then high worth, then the newest. With the oldest first a
 // standing queue would set every call up just after its aim.
 func before(a, b *call) int {
-	switch {
-	case a.CutBefore != b.CutBefore:
-		if a.CutBefore {
-			return -1
+	rank := func(k *call) (n int) {
+		if k.CutBefore {
+			n = -1
 		}
-		return 1
-	case a.worth != b.worth:
-		return int(math.Copysign(1, b.worth-a.worth))
-	case a.arrived != b.arrived:
-		return int(b.arrived - a.arrived)
+		return n
 	}
-	return int(b.Call) - int(a.Call)
+	return cmp.Or(rank(a)-rank(b), cmp.Compare(b.worth, a.worth),
+		cmp.Compare(b.arrived, a.arrived), cmp.Compare(b.Call, a.Call))
 }
 
 // serve tries the held calls again when something may have come free.
@@ -491,7 +483,11 @@
 	if !c.admits(dest, k) || !c.admits(c.own, k) {
 		return nil, true
 	}
-	if !dest.grouped || dest.free >= k.Circuits+c.kept(k) {
+	kept := 0.0 // trunk reservation: circuits left free for others
+	if k.low {
+		kept = keptForDirect
+	}
+	if !dest.grouped || dest.free >= k.Circuits+kept {
 		return dest, true
 	}
 	if k.tandems >= maxTandems || k.low {
@@ -501,7 +497,8 @@
 	var least uint64
 	for _, t := range c.order {
 		turned := t.turned[dest.code]
-		if t == dest || t.health != Ready || t.silent || c.cold(t) || !c.admits(t, k) || !t.grouped ||
+		if t == dest || t.health != Ready || !t.grouped || t.silent || c.cold(t) || t.seen > setLow ||
+			!c.admits(t, k) ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
@@ -516,14 +513,6 @@
 	return choice, true
 }
 
-// kept is the trunk reservation on the direct route: circuits that a call leaves free for others.
-func (c *Controller) kept(k *call) float64 {
-	if k.low {
-		return keptForDirect
-	}
-	return 0
-}
-
 // hash orders the tandems of a call.
 func (c *Controller) hash(id uint64, code int) uint64 {
 	h := c.cfg.Seed ^ id*0x9e3779b97f4a7c15 ^ uint64(code+1)*0xc2b2ae3d27d4eb4f
@@ -712,6 +701,9 @@
 	case TimedOut, NoContact:
 		if direct {
 			c.unanswered(x, k.sentAt)
+		} else {
+			// Whether it or the destination is at fault, not that way again.
+			x.turned[k.Destination] = c.now
 		}
 	}
 	if ev.Cause == NotSent && ev.Reason == NoCircuit {
@@ -851,6 +843,7 @@
 		load = max(load, x.load)
 	}
 	x.answers, x.pressure = x.answers*pressureDecay, x.pressure*pressureDecay
+	x.seen = load
 	if x.silent { // silence is no load: the window waits as it was
 		return
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -11,7 +11,7 @@
 const ms = time.Millisecond
 
 func config() Config {
-	return Config{Seed: 1, Self: 0, Controllers: 4, MaxAttempts: 4, Guard: 200 * ms, MaxHoldOff: 2 * time.Second,
+	return Config{Seed: 1, Self: 0, Controllers: 4, MaxAttempts: 4, Guard: 200 * ms,
 		WarmUp: 15 * time.Second, ColdShare: 0.4, FallMultiple: 2, FallSpan: 3 * time.Second,
 		Classes: []Class{
 			{Aim: 1500 * ms, MeanHold: 10 * time.Second, Worth: 1, Circuits: 1, Repeatable: true},
@@ -619,3 +619,24 @@
 		t.Errorf("%d calls still held", n)
 	}
 }
+
+// TestTandemsInTrouble: a pressed tandem, or one where an attempt timed out, cost call after call.
+func TestTandemsInTrouble(t *testing.T) {
+	for name, spoil := range map[string]func(r *rig){
+		"pressed": func(r *rig) { r.c.exchanges[2].seen = 0.5 },
+		"silent":  func(r *rig) { r.c.exchanges[2].silent = true },
+		"cold":    func(r *rig) { r.c.exchanges[2].launched = r.now },
+		"timed out": func(r *rig) {
+			r.call(1, func(o *Offered) { o.Advised = 2 })
+			r.now += 1500 * ms
+			r.returned(r.id, "a:2", TimedOut, NoReason)
+		},
+	} {
+		r := newRig(t, config(), 20)
+		r.group(1, 0)
+		spoil(r)
+		if got := r.sentTo(r.call(1, func(o *Offered) { o.Advised = 2 })); got != "a:3" {
+			t.Errorf("%s tandem: sent to %q, want the other", name, got)
+		}
+	}
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -250,9 +250,6 @@
 		FallMultiple:   num(v, 1, "obligations", "fall_multiple"),
 		FallSpan:       millis(num(v, 0, "obligations", "overload_for")),
 	}
-	if v.GetBool("limits", "retry_after") {
-		cfg.MaxHoldOff = millis(num(v, 0, "limits", "max_retry_after"))
-	}
 	for n, c := range v.GetArray("request_classes") {
 		class := brain.Class{
 			Aim: millis(num(c, 0, "aim")), Worth: num(c, 1, "credit"), LateWorth: num(c, 0, "late_worth"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -301,7 +301,7 @@
 	case brain.Refuse:
 		open("Bounce")
 		number(act.Call)
-		ms(act.HoldOff)
+		ms(0)
 	case brain.Fail:
 		open("Lose")
 		number(act.Call)
