--- a/brain/brain.go
+++ b/brain/brain.go
@@ -65,8 +65,9 @@
 	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
 	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
 	answerShift = 4                       // one step moves the usual answer time by one part of so many
-	coldSafety  = 0.7                     // part of the cold budget that is used
-	usualWeight = 0.05                    // weight of one step in the usual rate of sends
+	// of the cold budget; a processor can do over twice the set-ups that it is usually sent
+	coldSafety  = 1.2
+	usualWeight = 0.05 // weight of one step in the usual rate of sends
 )
 
 // stepTimer is the timer of the steps; calls have timers of their own id, below it.
