--- a/brain/brain.go
+++ b/brain/brain.go
@@ -498,7 +498,7 @@
 	var least uint64
 	for _, t := range c.order {
 		turned := t.turned[dest.code]
-		if t == dest || t.health != Ready || !t.grouped || t.silent || c.cold(t) || t.seen > setLow ||
+		if t == dest || t.health != Ready || !t.grouped || t.silent || c.cold(t) || t.seen > (setLow+setMid)/2 ||
 			!c.admits(t, k) ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
 			turned > 0 && c.now < turned+turnedBackKept {
