--- a/brain/brain.go
+++ b/brain/brain.go
@@ -136,6 +136,7 @@
 	slotted   bool      // it holds a slot at to and at the own exchange
 	sentAt    time.Duration
 	mayRun    bool // an attempt may have been carried out
+	late      bool // its aim cannot be met
 	low       bool // it earns little: its aim cannot be met, or its tenant is beyond its quota
 }
 
@@ -327,8 +328,9 @@
 	} else if n != nil && !ev.CutBefore && n.refusedAt > 0 && c.now < n.refusedAt+redialKept {
 		k.aimEnd = n.aimEnd // dialled again: the aim runs from the first try
 	}
-	k.low = c.now+c.answerTime >= k.aimEnd
-	if k.low {
+	k.late = c.now+c.answerTime >= k.aimEnd
+	k.low = k.late
+	if k.late {
 		k.worth *= cl.LateWorth
 	}
 	if !ev.Transit && k.aimEnd == c.now+cl.Aim && c.overQuota(ev.Tenant) {
@@ -491,15 +493,15 @@
 	if !dest.grouped || dest.free >= k.Circuits+kept {
 		return dest, true
 	}
-	if k.tandems >= maxTandems || k.low {
+	if k.tandems >= maxTandems || k.late {
 		return nil, true
 	}
 	var choice *exchange
 	var least uint64
 	for _, t := range c.order {
 		turned := t.turned[dest.code]
-		if t == dest || t.health != Ready || !t.grouped || t.silent || c.cold(t) || t.seen > (setLow+setMid)/2 ||
-			!c.admits(t, k) ||
+		if t == dest || t.health != Ready || !t.grouped || t.silent || c.cold(t) || !c.admits(t, k) ||
+			t.seen > (setLow+setMid)/2 ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
