--- a/brain/brain.go
+++ b/brain/brain.go
@@ -61,6 +61,7 @@
 	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
+	tails       = 4                       // deviations beyond its usual time after which an answer is taken for lost
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
 	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
 	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
@@ -96,14 +97,15 @@
 	free, size        float64
 	grouped           bool // the trunk group's state is known
 
-	out        []*call // attempts out towards it, by time of send
-	lastAnswer time.Duration
-	delays     time.Duration // sum of the answer times in this step ...
-	delayed    time.Duration // ... and their number
-	unanswered int
-	silent     bool
-	trialAt    time.Duration
-	turned     map[int]time.Duration // as tandem: destinations and when it last turned a call back
+	out         []*call // attempts out towards it, by time of send
+	lastAnswer  time.Duration
+	rtt, rttDev time.Duration // usual answer time and how far answers are off it
+	delays      time.Duration // sum of the answer times in this step ...
+	delayed     time.Duration // ... and their number
+	unanswered  int
+	silent      bool
+	trialAt     time.Duration
+	turned      map[int]time.Duration // as tandem: destinations and when it last turned a call back
 
 	sends    []time.Duration // sends within the last FallSpan
 	usual    float64         // usual set-ups a second sent to it while it is warm
@@ -500,8 +502,7 @@
 	var least uint64
 	for _, t := range c.order {
 		turned := t.turned[dest.code]
-		if t == dest || t.health != Ready || !t.grouped || t.silent || c.cold(t) || !c.admits(t, k) ||
-			t.seen > (setLow+setMid)/2 ||
+		if t == dest || t.health != Ready || !t.grouped || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
@@ -534,7 +535,13 @@
 	}
 	timeOut := k.Due - c.now
 	if !k.Transit {
-		timeOut = min(timeOut, max(minTimeOut, k.aimEnd-c.now))
+		left := k.aimEnd - c.now
+		// An exchange that answers quickly but loses some set-ups is tried a second time within the aim.
+		if first := max(minTimeOut, x.rtt+tails*x.rttDev); k.attempts == 0 && x.code == k.Destination &&
+			x.rtt > 0 && c.quick(x) && first+c.cfg.Guard+x.rtt+x.rttDev < left {
+			left = first
+		}
+		timeOut = min(timeOut, max(minTimeOut, left))
 		c.slot(x, 1)
 		c.slot(c.own, 1)
 		k.slotted = true
@@ -614,6 +621,9 @@
 	}
 }
 
+// quick tells whether x answers and its load reads more Low than Medium.
+func (c *Controller) quick(x *exchange) bool { return !x.silent && x.seen <= (setLow+setMid)/2 }
+
 // alive notes a sign of life of x.
 func (c *Controller) alive(x *exchange) {
 	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
@@ -629,6 +639,12 @@
 	if x.code == k.Destination {
 		c.evidence(x, ev.Delay-c.ownWait)
 		x.delays, x.delayed = x.delays+ev.Delay, x.delayed+1
+		off := ev.Delay - x.rtt
+		if x.rtt == 0 {
+			x.rtt, off = ev.Delay, ev.Delay/2
+			x.rttDev = off
+		}
+		x.rtt, x.rttDev = x.rtt+off/8, x.rttDev+(max(off, -off)-x.rttDev)/4
 	} else if d := c.exchanges[k.Destination]; d != nil {
 		c.alive(d)
 	}
@@ -671,7 +687,7 @@
 	case TimedOut, Reset, Cancelled: // what the attempt held may stay taken: the release is awaited
 		k.mayRun = true
 		k.earliest = c.now + c.cfg.Guard
-		again = ev.Cause != TimedOut || !direct
+		again = ev.Cause != TimedOut || !direct || c.quick(x)
 	case Failed:
 		k.mayRun = true
 		again = ev.Reason != NumberBusy
@@ -743,7 +759,9 @@
 // unanswered notes a set-up to x, sent at the given time, that has had no answer.
 func (c *Controller) unanswered(x *exchange, sent time.Duration) {
 	if x.lastAnswer >= sent {
-		c.evidence(x, c.aim) // others were answered meanwhile: it is slow, not silent
+		if !c.quick(x) { // where others were answered quickly it was lost, which is no load
+			c.evidence(x, c.aim)
+		}
 		return
 	}
 	if x.unanswered++; x.unanswered >= silentAfter && !x.silent {
@@ -778,7 +796,7 @@
 				age.Seconds() > overdueAt*c.aim.Seconds() {
 				if x.lastAnswer < k.sentAt {
 					overdue++
-				} else {
+				} else if !c.quick(x) {
 					c.evidence(x, age)
 				}
 			}
