Set-ups that an exchange loses are made again within the aim

Told from a cut between regions as all senders saw it, from load as the answers stayed quick, from a hang as others were answered meanwhile. Read as load it cut the windows, and each lost call waited for its whole aim. Where 1.5 set-ups (decayed) were lost so, an attempt ends at its usual answer time and four deviations if a second one with its guard fits the aim, and the loss is no load. Holds against any partial loss below about 45%; above that it reads as load.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,17 +17,15 @@
 
 // The window and its step.
 const (
-	stepEvery = 500 * time.Millisecond // between two steps of the windows
-	// slots at start, shared by all senders to a processor (Little's law)
-	startWindow   = 20.0
-	ownStart      = 6.0         // own window at start: a few times what a processor keeps busy (Little)
-	maxWindow     = 200.0       // ceiling of a window
-	minSlots      = 1           // a window always lets one set-up through
-	holdAtMost    = time.Second // a call without a slot or circuit waits no longer
-	pressureDecay = 0.5         // part of the evidence of load that is left after a step
-	// an answer that takes this share of the shortest aim reads as full load
-	slowShare  = 0.5
-	reportKept = 2 * time.Second // a load report older than this is not read
+	stepEvery     = 500 * time.Millisecond // between two steps of the windows
+	startWindow   = 20.0                   // slots at start, shared by all senders to a processor
+	ownStart      = 6.0                    // own window at start: a few times what is out usually
+	maxWindow     = 200.0                  // ceiling of a window
+	minSlots      = 1                      // a window always lets one set-up through
+	holdAtMost    = time.Second            // a call without a slot or circuit waits no longer
+	pressureDecay = 0.5                    // part of the evidence of load that is left after a step
+	slowShare     = 0.5                    // an answer that takes this share of the shortest aim is full load
+	reportKept    = 2 * time.Second        // a load report older than this is not read
 )
 
 // The fuzzy sets: where Low ends, Medium peaks and High is full. High begins at the middle, so a reading
@@ -43,32 +41,31 @@
 
 // Routes and circuits.
 const (
-	slotsForPrior = 1    // slots beyond the window for calls of higher worth and cut calls
-	quotaBurst    = 15.0 // calls that a tenant may have in hand of its quota
-	maxTandems    = 2    // tandems tried for a call
-	keptForDirect = 2    // circuits of a group that transit and tandem calls leave free
-	// a tandem that turned a call back is skipped for that destination so long
-	turnedBackKept = 2 * time.Second
+	slotsForPrior  = 1               // slots beyond the window for calls of higher worth and cut calls
+	quotaBurst     = 15.0            // calls that a tenant may have in hand of its quota
+	maxTandems     = 2               // tandems tried for a call
+	keptForDirect  = 2               // circuits of a group that transit and tandem calls leave free
+	turnedBackKept = 2 * time.Second // a tandem that turned back is skipped for that destination so long
 )
 
 // Health of far processors.
 const (
-	// so many set-ups without any sign of life: the exchange is silent
-	silentAfter = 2
+	silentAfter = 2                       // set-ups without any sign of life: the exchange is silent
 	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
 	trialEvery  = time.Second             // between the trial calls to a silent exchange
 	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
 	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
-	tails       = 4                       // deviations beyond its usual time after which an answer is taken for lost
+	lostDecay   = 0.9                     // part of it left after a step
+	lossy       = 1.5                     // set-ups lost, decayed, from which on attempts are made again
+	tails       = 4                       // deviations after which an answer is taken for lost
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
 	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
 	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
 	answerShift = 4                       // one step moves the usual answer time by one part of so many
-	// of the cold budget; a processor can do over twice the set-ups that it is usually sent
-	coldSafety  = 1.2
-	usualWeight = 0.05 // weight of one step in the usual rate of sends
+	coldSafety  = 1.2                     // of the cold budget; usual sends are under half of what it can do
+	usualWeight = 0.05                    // weight of one step in the usual rate of sends
 )
 
 // stepTimer is the timer of the steps; calls have timers of their own id, below it.
@@ -99,6 +96,7 @@
 
 	out         []*call // attempts out towards it, by time of send
 	lastAnswer  time.Duration
+	lost        float64       // decayed number of set-ups lost while others were answered quickly
 	rtt, rttDev time.Duration // usual answer time and how far answers are off it
 	delays      time.Duration // sum of the answer times in this step ...
 	delayed     time.Duration // ... and their number
@@ -166,6 +164,7 @@
 	aim        time.Duration // shortest aim of all classes
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
+	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
 	answerTime time.Duration // usual time of an answer
@@ -189,8 +188,9 @@
 		}
 		c.aim, c.least = min(c.aim, cl.Aim), min(c.least, cl.Worth)
 	}
-	for i := range c.credit {
+	for i, t := range cfg.Tenants {
 		c.credit[i] = quotaBurst
+		c.quotas += t.Quota
 	}
 	c.slow = time.Duration(slowShare * float64(c.aim))
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
@@ -349,20 +349,14 @@
 	if len(c.cfg.Tenants) < 2 || tenant < 0 || tenant >= len(c.cfg.Tenants) {
 		return false
 	}
-	var all float64
-	for _, t := range c.cfg.Tenants {
-		all += t.Quota
-	}
 	for i, t := range c.cfg.Tenants {
-		if all > 0 {
-			c.credit[i] = min(quotaBurst, c.credit[i]+t.Quota/all)
-		}
+		c.credit[i] = min(quotaBurst, c.credit[i]+t.Quota/max(c.quotas, 1))
 	}
-	if c.credit[tenant] < 1 {
-		return true
+	over := c.credit[tenant] < 1
+	if !over {
+		c.credit[tenant]--
 	}
-	c.credit[tenant]--
-	return false
+	return over
 }
 
 // evidence notes an answer of x that took d.
@@ -410,13 +404,8 @@
 // before orders held calls: cut calls first, then high worth, then the newest. With the oldest first a
 // standing queue would set every call up just after its aim.
 func before(a, b *call) int {
-	rank := func(k *call) (n int) {
-		if k.CutBefore {
-			n = -1
-		}
-		return n
-	}
-	return cmp.Or(rank(a)-rank(b), cmp.Compare(b.worth, a.worth),
+	rank := map[bool]int{true: -1}
+	return cmp.Or(rank[a.CutBefore]-rank[b.CutBefore], cmp.Compare(b.worth, a.worth),
 		cmp.Compare(b.arrived, a.arrived), cmp.Compare(b.Call, a.Call))
 }
 
@@ -538,7 +527,7 @@
 		left := k.aimEnd - c.now
 		// An exchange that answers quickly but loses some set-ups is tried a second time within the aim.
 		if first := max(minTimeOut, x.rtt+tails*x.rttDev); k.attempts == 0 && x.code == k.Destination &&
-			x.rtt > 0 && c.quick(x) && first+c.cfg.Guard+x.rtt+x.rttDev < left {
+			x.lost >= lossy && c.quick(x) && first+c.cfg.Guard+x.rtt+x.rttDev < left {
 			left = first
 		}
 		timeOut = min(timeOut, max(minTimeOut, left))
@@ -641,8 +630,7 @@
 		x.delays, x.delayed = x.delays+ev.Delay, x.delayed+1
 		off := ev.Delay - x.rtt
 		if x.rtt == 0 {
-			x.rtt, off = ev.Delay, ev.Delay/2
-			x.rttDev = off
+			x.rtt, x.rttDev, off = ev.Delay, ev.Delay/2, 0
 		}
 		x.rtt, x.rttDev = x.rtt+off/8, x.rttDev+(max(off, -off)-x.rttDev)/4
 	} else if d := c.exchanges[k.Destination]; d != nil {
@@ -687,7 +675,7 @@
 	case TimedOut, Reset, Cancelled: // what the attempt held may stay taken: the release is awaited
 		k.mayRun = true
 		k.earliest = c.now + c.cfg.Guard
-		again = ev.Cause != TimedOut || !direct || c.quick(x)
+		again = ev.Cause != TimedOut || !direct || c.quick(x) && x.lost >= lossy
 	case Failed:
 		k.mayRun = true
 		again = ev.Reason != NumberBusy
@@ -699,15 +687,12 @@
 		// A full destination is not asked again, neither direct nor over a tandem.
 		again = ev.Reason != TurnedBackFull && !(ev.Reason == ProcessorFull && direct)
 	}
-	switch {
-	case k.Transit || !again || c.now >= k.Due-answerSpare:
-		if ev.Cause == TimedOut {
-			c.end(k, Fail{Call: k.Call})
-		} else {
-			c.end(k, c.refusal(k))
-		}
-	default:
+	if again && !k.Transit && c.now < k.Due-answerSpare {
 		c.place(k)
+	} else if ev.Cause == TimedOut {
+		c.end(k, Fail{Call: k.Call})
+	} else {
+		c.end(k, c.refusal(k))
 	}
 	c.serve()
 }
@@ -759,7 +744,10 @@
 // unanswered notes a set-up to x, sent at the given time, that has had no answer.
 func (c *Controller) unanswered(x *exchange, sent time.Duration) {
 	if x.lastAnswer >= sent {
-		if !c.quick(x) { // where others were answered quickly it was lost, which is no load
+		if c.quick(x) { // others were answered, and quickly: it was lost
+			x.lost++
+		}
+		if x.lost < lossy { // a loss that lasts is no load
 			c.evidence(x, c.aim)
 		}
 		return
@@ -792,13 +780,13 @@
 	for _, x := range c.order {
 		overdue := 0
 		for _, k := range x.out {
-			if age := c.now - k.sentAt - c.ownWait; x.code == k.Destination &&
-				age.Seconds() > overdueAt*c.aim.Seconds() {
-				if x.lastAnswer < k.sentAt {
-					overdue++
-				} else if !c.quick(x) {
-					c.evidence(x, age)
-				}
+			age := c.now - k.sentAt - c.ownWait
+			switch {
+			case x.code != k.Destination || age.Seconds() <= overdueAt*c.aim.Seconds():
+			case x.lastAnswer < k.sentAt:
+				overdue++
+			case x.lost < lossy:
+				c.evidence(x, age)
 			}
 		}
 		if overdue >= silentAfter && !x.silent {
@@ -812,7 +800,7 @@
 			rate := float64(x.sentStep) / stepEvery.Seconds()
 			x.usual += (rate - x.usual) * max(usualWeight, 1/x.steps)
 		}
-		x.sentStep = 0
+		x.sentStep, x.lost = 0, x.lost*lostDecay
 		c.resize(x)
 	}
 	c.own.answers, c.own.pressure = 0, 0
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -640,3 +640,40 @@
 		}
 	}
 }
+
+// TestLostSetUpsAreMadeAgain: an exchange lost a third of its set-ups while it answered the rest quickly; that was
+// read as load, and each lost call waited for its whole aim.
+func TestLostSetUpsAreMadeAgain(t *testing.T) {
+	r := newRig(t, config(), 1000)
+	var again, cut int
+	for i := range 60 {
+		r.now += 100 * ms
+		acts := r.call(1)
+		lost := r.id
+		if r.sentTo(acts) == "" {
+			continue
+		}
+		timeOut := acts[0].(SetUp).TimeOut
+		if timeOut < 800*ms {
+			cut++
+		}
+		r.now += 40 * ms
+		for range 3 {
+			r.call(1)
+			r.do(Established{Call: r.id, Exchange: "a:1", Delay: 40 * ms})
+		}
+		r.now += timeOut - 40*ms
+		r.returned(lost, "a:1", TimedOut, NoReason)
+		r.now += 200 * ms
+		if acts := r.do(Timer{ID: lost}); r.sentTo(acts) == "a:1" {
+			again++
+			r.do(Established{Call: lost, Exchange: "a:1", Delay: 40 * ms})
+		}
+		if i%2 == 0 {
+			r.do(Timer{ID: stepTimer})
+		}
+	}
+	if cut < 20 || again < 20 {
+		t.Errorf("%d attempts cut short and %d made again of 60 lost", cut, again)
+	}
+}
