--- a/brain/brain.go
+++ b/brain/brain.go
@@ -61,6 +61,7 @@
 	lossy       = 1.5                     // set-ups lost, decayed, from which on attempts are made again
 	tails       = 4                       // deviations after which an answer is taken for lost
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
+	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
 	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
 	answerShift = 4                       // one step moves the usual answer time by one part of so many
 	coldSafety  = 1.2                     // of the cold budget; usual sends are under half of what it can do
@@ -780,8 +781,12 @@
 		overdue := 0
 		for _, k := range x.out {
 			age := c.now - k.sentAt - c.ownWait
-			if x.code == k.Destination && x.lastAnswer < k.sentAt && age.Seconds() > overdueAt*c.aim.Seconds() {
+			switch {
+			case x.code != k.Destination || age.Seconds() <= overdueAt*c.aim.Seconds():
+			case x.lastAnswer < k.sentAt:
 				overdue++
+			case x.lost < lossy:
+				c.evidence(x, age)
 			}
 		}
 		if overdue >= silentAfter && !x.silent {
@@ -802,7 +807,7 @@
 	c.evidence(c.own, c.ownWait)
 	c.resize(c.own)
 	for key, n := range c.numbers {
-		if n.out == 0 && c.now > max(n.busyAt, n.refusedAt)+redialKept {
+		if n.out == 0 && c.now > max(n.busyAt, n.refusedAt)+numberKept {
 			delete(c.numbers, key)
 		}
 	}
