--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,7 @@
 const (
 	silentAfter = 2                       // set-ups without any sign of life: the exchange is silent
 	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
-	trialEvery  = 500 * time.Millisecond  // between the trial calls to a silent exchange
+	trialEvery  = time.Second             // between the trial calls to a silent exchange
 	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
 	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
