--- a/brain/brain.go
+++ b/brain/brain.go
@@ -104,6 +104,7 @@
 	silent      bool
 	trialAt     time.Duration
 	turned      map[int]time.Duration // as tandem: destinations and when it last turned a call back
+	via         int                   // as destination: the tandem that last carried a call, tried first
 
 	sends    []time.Duration // sends within the last FallSpan
 	usual    float64         // usual set-ups a second sent to it while it is warm
@@ -261,7 +262,7 @@
 		x := c.exchanges[e.PointCode]
 		if x == nil {
 			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
-				launched: e.Launched, heldAt: c.now, turned: map[int]time.Duration{},
+				launched: e.Launched, heldAt: c.now, turned: map[int]time.Duration{}, via: -1,
 				start: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
 			x.window = x.start
 			c.exchanges[e.PointCode] = x
@@ -496,7 +497,7 @@
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
 		}
-		if t.code == k.Advised {
+		if t.code == k.Advised || t.code == dest.via && k.Advised < 0 {
 			return t, true
 		}
 		if h := c.hash(k.Call, t.code); choice == nil || h < least {
@@ -635,6 +636,7 @@
 		x.rtt, x.rttDev = x.rtt+off/8, x.rttDev+(max(off, -off)-x.rttDev)/4
 	} else if d := c.exchanges[k.Destination]; d != nil {
 		c.alive(d)
+		d.via = x.code
 	}
 	c.answered(k)
 	if k.phase == setting {
