Sticky before the centre's advice

Cause: advice is seconds old and sends all callers of a destination to one tandem. The advised tandem stays second.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -497,10 +497,14 @@
 			turned > 0 && c.now < turned+turnedBackKept {
 			continue
 		}
-		if t.code == k.Advised || t.code == dest.via && k.Advised < 0 {
-			return t, true
-		}
-		if h := c.hash(k.Call, t.code); choice == nil || h < least {
+		h := c.hash(k.Call, t.code)
+		switch t.code { // the one that last carried a call there goes first, then the advised one
+		case dest.via:
+			h = 0
+		case k.Advised:
+			h = 1
+		}
+		if choice == nil || h < least {
 			choice, least = t, h
 		}
 	}
