Reservation: a tenth of a group rounded up, two circuits at most

Cause: groups at full size have 2 to 20 circuits; two kept circuits turned back more tandem calls than any other reason.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,11 +41,13 @@
 
 // Routes and circuits.
 const (
-	slotsForPrior  = 1               // slots beyond the window for calls of higher worth and cut calls
-	quotaBurst     = 15.0            // calls that a tenant may have in hand of its quota
-	maxTandems     = 2               // tandems tried for a call
-	keptForDirect  = 2               // circuits of a group that transit and tandem calls leave free
-	turnedBackKept = 2 * time.Second // a tandem that turned back is skipped for that destination so long
+	slotsForPrior     = 1               // slots beyond the window for calls of higher worth and cut calls
+	quotaBurst        = 15.0            // calls that a tenant may have in hand of its quota
+	maxTandems        = 2               // tandems tried for a call
+	keptForDirect     = 2               // circuits of a group that transit and tandem calls leave free
+	keptPart          = 0.1             // ... but of a thin group only this part, rounded up
+	turnedBackKept    = 2 * time.Second // a tandem that turned back is skipped for that destination so long ...
+	turnedBackDoubles = 4               // ... and twice as long each time in a row, so often: it may have no group there
 )
 
 // Health of far processors.
@@ -103,8 +105,8 @@
 	unanswered  int
 	silent      bool
 	trialAt     time.Duration
-	turned      map[int]time.Duration // as tandem: destinations and when it last turned a call back
-	via         int                   // as destination: the tandem that last carried a call, tried first
+	turned      map[int]turnBacks // as tandem: by destination, the calls that it turned back
+	via         int               // as destination: the tandem that last carried a call, tried first
 
 	sends    []time.Duration // sends within the last FallSpan
 	usual    float64         // usual set-ups a second sent to it while it is warm
@@ -112,6 +114,12 @@
 	steps    float64
 }
 
+// turnBacks counts the calls to one destination that a tandem has turned back since it last carried one.
+type turnBacks struct {
+	n    int
+	last time.Duration
+}
+
 type phase uint8
 
 const (
@@ -262,7 +270,7 @@
 		x := c.exchanges[e.PointCode]
 		if x == nil {
 			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
-				launched: e.Launched, heldAt: c.now, turned: map[int]time.Duration{}, via: -1,
+				launched: e.Launched, heldAt: c.now, turned: map[int]turnBacks{}, via: -1,
 				start: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
 			x.window = x.start
 			c.exchanges[e.PointCode] = x
@@ -463,7 +471,7 @@
 	}
 	if k.Transit {
 		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) &&
-			(!dest.grouped || dest.free >= k.Circuits+keptForDirect) {
+			(!dest.grouped || dest.free >= k.Circuits+kept(dest)) {
 			return dest, false
 		}
 		return nil, false
@@ -478,11 +486,11 @@
 	if !c.admits(dest, k) || !c.admits(c.own, k) {
 		return nil, true
 	}
-	kept := 0.0 // trunk reservation: circuits left free for others
+	room := dest.free
 	if k.low {
-		kept = keptForDirect
+		room -= kept(dest)
 	}
-	if !dest.grouped || dest.free >= k.Circuits+kept {
+	if !dest.grouped || room >= k.Circuits {
 		return dest, true
 	}
 	if k.tandems >= maxTandems || k.late {
@@ -493,8 +501,8 @@
 	for _, t := range c.order {
 		turned := t.turned[dest.code]
 		if t == dest || t.health != Ready || !t.grouped || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
-			slices.Contains(k.tried, t.code) || t.free < k.Circuits+keptForDirect ||
-			turned > 0 && c.now < turned+turnedBackKept {
+			slices.Contains(k.tried, t.code) || t.free < k.Circuits+kept(t) ||
+			turned.n > 0 && c.now < turned.last+turnedBackKept<<min(turned.n-1, turnedBackDoubles) {
 			continue
 		}
 		h := c.hash(k.Call, t.code)
@@ -511,6 +519,10 @@
 	return choice, true
 }
 
+// kept are the circuits of the group to x that transit, tandem and low calls leave free: trunk reservation.
+// In a thin group two circuits are a large part, and calls without a direct group would find no way.
+func kept(x *exchange) float64 { return min(keptForDirect, math.Ceil(keptPart*x.size)) }
+
 // hash orders the tandems of a call.
 func (c *Controller) hash(id uint64, code int) uint64 {
 	h := c.cfg.Seed ^ id*0x9e3779b97f4a7c15 ^ uint64(code+1)*0xc2b2ae3d27d4eb4f
@@ -641,6 +653,7 @@
 	} else if d := c.exchanges[k.Destination]; d != nil {
 		c.alive(d)
 		d.via = x.code
+		delete(x.turned, d.code)
 	}
 	c.answered(k)
 	if k.phase == setting {
@@ -713,7 +726,7 @@
 			c.unanswered(x, k.sentAt)
 		} else {
 			// Whether it or the destination is at fault, not that way again.
-			x.turned[k.Destination] = c.now
+			x.turnBack(k.Destination, c.now)
 		}
 	}
 	if ev.Cause == NotSent && ev.Reason == NoCircuit {
@@ -731,12 +744,17 @@
 		}
 		fallthrough
 	case TurnedBack:
-		x.turned[k.Destination] = c.now
+		x.turnBack(k.Destination, c.now)
 	case NumberBusy:
 		c.number(k.Number).busyAt = c.now
 	}
 }
 
+// turnBack notes that x as tandem did not carry a call to the destination.
+func (x *exchange) turnBack(destination int, now time.Duration) {
+	x.turned[destination] = turnBacks{x.turned[destination].n + 1, now}
+}
+
 // number is the evidence on one number.
 func (c *Controller) number(key string) *number {
 	n := c.numbers[key]
