--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,13 +41,12 @@
 
 // Routes and circuits.
 const (
-	slotsForPrior     = 1               // slots beyond the window for calls of higher worth and cut calls
-	quotaBurst        = 15.0            // calls that a tenant may have in hand of its quota
-	maxTandems        = 2               // tandems tried for a call
-	keptForDirect     = 2               // circuits of a group that transit and tandem calls leave free
-	keptPart          = 0.1             // ... but of a thin group only this part, rounded up
-	turnedBackKept    = 2 * time.Second // a tandem that turned back is skipped for that destination so long ...
-	turnedBackDoubles = 4               // ... and twice as long each time in a row, so often: it may have no group there
+	slotsForPrior  = 1               // slots beyond the window for calls of higher worth and cut calls
+	quotaBurst     = 15.0            // calls that a tenant may have in hand of its quota
+	maxTandems     = 2               // tandems tried for a call
+	keptForDirect  = 2               // circuits of a group that transit and tandem calls leave free
+	keptPart       = 0.1             // ... but of a thin group only this part, rounded up
+	turnedBackKept = 2 * time.Second // a tandem that turned back is skipped for that destination so long ...
 )
 
 // Health of far processors.
@@ -502,10 +501,10 @@
 		turned := t.turned[dest.code]
 		if t == dest || t.health != Ready || !t.grouped || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+kept(t) ||
-			turned.n > 0 && c.now < turned.last+turnedBackKept<<min(turned.n-1, turnedBackDoubles) {
+			turned.n > 0 && c.now < turned.last+turnedBackKept {
 			continue
 		}
-		h := c.hash(k.Call, t.code)
+		h := c.hash(k.Call, t.code)>>8 + uint64(min(turned.n+2, 255))<<56
 		switch t.code { // the one that last carried a call there goes first, then the advised one
 		case dest.via:
 			h = 0
@@ -653,7 +652,7 @@
 	} else if d := c.exchanges[k.Destination]; d != nil {
 		c.alive(d)
 		d.via = x.code
-		delete(x.turned, d.code)
+		x.turned[d.code] = turnBacks{n: -1}
 	}
 	c.answered(k)
 	if k.phase == setting {
@@ -752,7 +751,7 @@
 
 // turnBack notes that x as tandem did not carry a call to the destination.
 func (x *exchange) turnBack(destination int, now time.Duration) {
-	x.turned[destination] = turnBacks{x.turned[destination].n + 1, now}
+	x.turned[destination] = turnBacks{max(0, x.turned[destination].n) + 1, now}
 }
 
 // number is the evidence on one number.
