--- a/brain/brain.go
+++ b/brain/brain.go
@@ -725,7 +725,7 @@
 			c.unanswered(x, k.sentAt)
 		} else {
 			// Whether it or the destination is at fault, not that way again.
-			x.turnBack(k.Destination, c.now)
+			c.turnBack(x, k.Destination)
 		}
 	}
 	if ev.Cause == NotSent && ev.Reason == NoCircuit {
@@ -743,15 +743,18 @@
 		}
 		fallthrough
 	case TurnedBack:
-		x.turnBack(k.Destination, c.now)
+		c.turnBack(x, k.Destination)
 	case NumberBusy:
 		c.number(k.Number).busyAt = c.now
 	}
 }
 
 // turnBack notes that x as tandem did not carry a call to the destination.
-func (x *exchange) turnBack(destination int, now time.Duration) {
-	x.turned[destination] = turnBacks{max(0, x.turned[destination].n) + 1, now}
+func (c *Controller) turnBack(x *exchange, destination int) {
+	x.turned[destination] = turnBacks{max(0, x.turned[destination].n) + 1, c.now}
+	if d := c.exchanges[destination]; d != nil && d.via == x.code {
+		d.via = -1
+	}
 }
 
 // number is the evidence on one number.
