Answer times pooled over all exchanges; own wait is the least answer time of a step

Room: per-exchange answer times are too sparse at full size and go. An address whose machine is gone is forgotten.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -64,7 +64,6 @@
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
 	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
 	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
-	answerShift = 4                       // one step moves the usual answer time by one part of so many
 	coldSafety  = 1.2                     // of the cold budget; usual sends are under half of what it can do
 	usualWeight = 0.05                    // weight of one step in the usual rate of sends
 )
@@ -95,17 +94,14 @@
 	free, size        float64
 	grouped           bool // the trunk group's state is known
 
-	out         []*call // attempts out towards it, by time of send
-	lastAnswer  time.Duration
-	lost        float64       // decayed number of set-ups lost while others were answered quickly
-	rtt, rttDev time.Duration // usual answer time and how far answers are off it
-	delays      time.Duration // sum of the answer times in this step ...
-	delayed     time.Duration // ... and their number
-	unanswered  int
-	silent      bool
-	trialAt     time.Duration
-	turned      map[int]turnBacks // as tandem: by destination, the calls that it turned back
-	via         int               // as destination: the tandem that last carried a call, tried first
+	out        []*call // attempts out towards it, by time of send
+	lastAnswer time.Duration
+	lost       float64 // decayed number of set-ups lost while others were answered quickly
+	unanswered int
+	silent     bool
+	trialAt    time.Duration
+	turned     map[int]turnBacks // as tandem: by destination, the calls that it turned back
+	via        int               // as destination: the tandem that last carried a call, tried first
 
 	sends    []time.Duration // sends within the last FallSpan
 	usual    float64         // usual set-ups a second sent to it while it is warm
@@ -175,7 +171,10 @@
 	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
-	answerTime time.Duration // usual time of an answer
+	heard      int           // answers to direct set-ups in this step ...
+	leastTime  time.Duration // ... and the least of their times
+	answerTime time.Duration // usual time of an answer of any exchange ...
+	answerDev  time.Duration // ... and how far answers are off it
 }
 
 // New makes a controller.
@@ -277,6 +276,9 @@
 			c.order = slices.Insert(c.order, at, x)
 		}
 		c.byAddr[e.Address] = x
+		if e.Health == Gone { // a machine that is gone tells nothing more
+			defer delete(c.byAddr, e.Address)
+		}
 		seen[e.PointCode] = seen[e.PointCode] || e.Health != Gone
 		switch {
 		case e.Address == x.addr:
@@ -412,9 +414,13 @@
 // before orders held calls: cut calls first, then high worth, then the newest. With the oldest first a
 // standing queue would set every call up just after its aim.
 func before(a, b *call) int {
-	rank := map[bool]int{true: -1}
-	return cmp.Or(rank[a.CutBefore]-rank[b.CutBefore], cmp.Compare(b.worth, a.worth),
-		cmp.Compare(b.arrived, a.arrived), cmp.Compare(b.Call, a.Call))
+	if a.CutBefore != b.CutBefore {
+		if a.CutBefore {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(b.arrived, a.arrived), cmp.Compare(b.Call, a.Call))
 }
 
 // serve tries the held calls again when something may have come free.
@@ -542,8 +548,8 @@
 	if !k.Transit {
 		left := k.aimEnd - c.now
 		// An exchange that answers quickly but loses some set-ups is tried a second time within the aim.
-		if first := max(minTimeOut, x.rtt+tails*x.rttDev); k.attempts == 0 && x.code == k.Destination &&
-			x.lost >= lossy && c.quick(x) && first+c.cfg.Guard+x.rtt+x.rttDev < left {
+		if first := max(minTimeOut, c.answerTime+tails*c.answerDev); k.attempts == 0 && x.code == k.Destination &&
+			x.lost >= lossy && c.quick(x) && first+c.cfg.Guard+c.answerTime+c.answerDev < left {
 			left = first
 		}
 		timeOut = min(timeOut, max(minTimeOut, left))
@@ -643,12 +649,12 @@
 	c.alive(x)
 	if x.code == k.Destination {
 		c.evidence(x, ev.Delay-c.ownWait)
-		x.delays, x.delayed = x.delays+ev.Delay, x.delayed+1
-		off := ev.Delay - x.rtt
-		if x.rtt == 0 {
-			x.rtt, x.rttDev, off = ev.Delay, ev.Delay/2, 0
+		c.heard, c.leastTime = c.heard+1, min(c.leastTime, ev.Delay)
+		off := ev.Delay - c.answerTime
+		if c.answerTime == 0 {
+			c.answerTime, c.answerDev, off = ev.Delay, ev.Delay/2, 0
 		}
-		x.rtt, x.rttDev = x.rtt+off/8, x.rttDev+(max(off, -off)-x.rttDev)/4
+		c.answerTime, c.answerDev = c.answerTime+off/8, c.answerDev+(max(off, -off)-c.answerDev)/4
 	} else if d := c.exchanges[k.Destination]; d != nil {
 		c.alive(d)
 		d.via = x.code
@@ -802,7 +808,10 @@
 
 // step resizes every window, in the order of the point codes.
 func (c *Controller) step() {
-	c.timing()
+	if c.heard >= 2 { // what the answers of all far exchanges have in common is the wait at the own processor
+		c.ownWait = c.leastTime
+	}
+	c.heard, c.leastTime = 0, math.MaxInt64
 	for _, x := range c.order {
 		overdue := 0
 		for _, k := range x.out {
@@ -840,29 +849,6 @@
 	c.serve()
 }
 
-// timing learns from the answer times of the step. What all far exchanges have in common is the wait at the
-// own processor: the least of their means.
-func (c *Controller) timing() {
-	var sum, n, least time.Duration
-	heard := 0
-	for _, x := range c.order {
-		if x.delayed > 0 {
-			sum, n = sum+x.delays, n+x.delayed
-			if mean := x.delays / x.delayed; heard == 0 || mean < least {
-				least = mean
-			}
-			heard++
-		}
-		x.delays, x.delayed = 0, 0
-	}
-	if n > 0 {
-		c.answerTime += (sum/n - c.answerTime) / answerShift
-	}
-	if heard >= 2 {
-		c.ownWait = least
-	}
-}
-
 // resize is the step of one window: Wmax += dW * Wmax, dW from Table I.
 func (c *Controller) resize(x *exchange) {
 	c.rested(x)
