--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,6 +26,7 @@
 	pressureDecay = 0.5                    // part of the evidence of load that is left after a step
 	slowShare     = 0.5                    // an answer that takes this share of the shortest aim is full load
 	reportKept    = 2 * time.Second        // a load report older than this is not read
+	stallAt       = 150 * time.Millisecond // a step that comes so late: the controller itself stood still
 )
 
 // The fuzzy sets: where Low ends, Medium peaks and High is full. High begins at the middle, so a reading
@@ -165,16 +166,20 @@
 	calls      map[uint64]*call
 	waiting    []*call
 	numbers    map[string]*number
-	aim        time.Duration // shortest aim of all classes
-	slow       time.Duration // an answer that takes so long reads as full load
-	least      float64       // lowest worth of a class
-	quotas     float64       // of all tenants
-	credit     []float64     // per tenant, calls that it has left within its quota
-	ownWait    time.Duration // wait at the own processor
-	heard      int           // answers to direct set-ups in this step ...
-	leastTime  time.Duration // ... and the least of their times
-	answerTime time.Duration // usual time of an answer of any exchange ...
-	answerDev  time.Duration // ... and how far answers are off it
+	stepDue    time.Duration   // when the next step is due
+	resumed    time.Duration   // when the controller last went on after a stall ...
+	stall      time.Duration   // ... that was so long
+	aim        time.Duration   // shortest aim of all classes
+	slow       time.Duration   // an answer that takes so long reads as full load
+	least      float64         // lowest worth of a class
+	quotas     float64         // of all tenants
+	patience   []time.Duration // per class, how long callers wait
+	credit     []float64       // per tenant, calls that it has left within its quota
+	ownWait    time.Duration   // wait at the own processor
+	heard      int             // answers to direct set-ups in this step ...
+	leastTime  time.Duration   // ... and the least of their times
+	answerTime time.Duration   // usual time of an answer of any exchange ...
+	answerDev  time.Duration   // ... and how far answers are off it
 }
 
 // New makes a controller.
@@ -188,7 +193,8 @@
 	}
 	c := &Controller{cfg: cfg, aim: math.MaxInt64, least: math.MaxFloat64,
 		exchanges: map[int]*exchange{}, byAddr: map[string]*exchange{},
-		calls: map[uint64]*call{}, numbers: map[string]*number{}, credit: make([]float64, len(cfg.Tenants))}
+		calls: map[uint64]*call{}, numbers: map[string]*number{}, credit: make([]float64, len(cfg.Tenants)),
+		patience: make([]time.Duration, len(cfg.Classes))}
 	for i, cl := range cfg.Classes {
 		if cl.Aim <= 0 || cl.Worth < 0 {
 			return nil, fmt.Errorf("class %d: the aim must be positive and the worth not negative", i)
@@ -209,10 +215,13 @@
 
 // Handle takes one event at the time now and appends to out what is to be done.
 func (c *Controller) Handle(now time.Duration, ev Event, out []Action) []Action {
+	if c.started && now > c.stepDue+stallAt && now > c.now {
+		c.resume(now)
+	}
 	c.now, c.out = now, out
 	if !c.started {
 		c.started = true
-		c.do(SetTimer{ID: stepTimer, After: stepEvery})
+		c.nextStep()
 		if c.cfg.AskForList {
 			c.do(Subscribe{})
 		}
@@ -237,8 +246,10 @@
 		}
 	case Timer:
 		if ev.ID == stepTimer {
-			c.do(SetTimer{ID: stepTimer, After: stepEvery})
-			c.step()
+			c.nextStep()
+			if c.now > c.resumed { // what a stall has done to the shares of slots held is no far load
+				c.step()
+			}
 		} else if k := c.calls[ev.ID]; k != nil && k.phase == held {
 			c.place(k)
 			if k.phase == held { // a timer may come a little early: without another the call would be lost
@@ -250,6 +261,25 @@
 	return out
 }
 
+func (c *Controller) nextStep() {
+	c.stepDue = c.now + stepEvery
+	c.do(SetTimer{ID: stepTimer, After: stepEvery})
+}
+
+// resume notes that the controller stood still: its own timer comes late, and all that happened meanwhile comes
+// at once. Late answers, time-outs and slots held so long are its own doing, and tell of no far load or silence.
+func (c *Controller) resume(now time.Duration) {
+	c.stall, c.resumed, c.stepDue = now-c.now, now, now
+	c.now = now
+	for _, x := range append(c.order, c.own) {
+		c.slot(x, 0)
+		x.heldSum = 0
+	}
+	for _, k := range c.waiting { // those whose aim can still be met may wait on
+		k.holdUntil = max(k.holdUntil, min(now+holdAtMost, k.aimEnd-c.answerTime, k.Due-answerSpare))
+	}
+}
+
 func (c *Controller) do(a Action) { c.out = append(c.out, a) }
 
 // list follows the list of exchanges.
@@ -334,7 +364,12 @@
 	}
 	k := &call{Offered: ev, arrived: c.now, worth: cl.Worth}
 	c.calls[ev.Call] = k
-	k.aimEnd = c.now + cl.Aim
+	if c.now > c.resumed {
+		c.patience[ev.Class] = max(ev.Due-c.now, c.patience[ev.Class]-c.patience[ev.Class]/64)
+	} else { // it has waited here: since when, its due time tells
+		k.arrived = min(c.now, max(c.now-c.stall, ev.Due-c.patience[ev.Class]))
+	}
+	k.aimEnd = k.arrived + cl.Aim
 	if n := c.numbers[ev.Number]; ev.Transit {
 		k.aimEnd = ev.Due
 	} else if n != nil && !ev.CutBefore && n.refusedAt > 0 && c.now < n.refusedAt+redialKept {
@@ -345,7 +380,7 @@
 	if k.late {
 		k.worth *= cl.LateWorth
 	}
-	if !ev.Transit && k.aimEnd == c.now+cl.Aim && c.overQuota(ev.Tenant) {
+	if !ev.Transit && k.aimEnd == k.arrived+cl.Aim && c.overQuota(ev.Tenant) {
 		k.low = true
 		k.worth *= c.cfg.OverQuotaWorth
 	}
@@ -647,7 +682,7 @@
 	}
 	x := k.to
 	c.alive(x)
-	if x.code == k.Destination {
+	if x.code == k.Destination && k.sentAt >= c.resumed {
 		c.evidence(x, ev.Delay-c.ownWait)
 		c.heard, c.leastTime = c.heard+1, min(c.leastTime, ev.Delay)
 		off := ev.Delay - c.answerTime
@@ -655,7 +690,7 @@
 			c.answerTime, c.answerDev, off = ev.Delay, ev.Delay/2, 0
 		}
 		c.answerTime, c.answerDev = c.answerTime+off/8, c.answerDev+(max(off, -off)-c.answerDev)/4
-	} else if d := c.exchanges[k.Destination]; d != nil {
+	} else if d := c.exchanges[k.Destination]; d != nil && d != x {
 		c.alive(d)
 		d.via = x.code
 		x.turned[d.code] = turnBacks{n: -1}
@@ -727,6 +762,9 @@
 	case Completed, Failed, NotSetUp:
 		c.alive(x)
 	case TimedOut, NoContact:
+		if k.sentAt < c.resumed {
+			break // the answer may have come while the controller stood still
+		}
 		if direct {
 			c.unanswered(x, k.sentAt)
 		} else {
@@ -815,7 +853,7 @@
 	for _, x := range c.order {
 		overdue := 0
 		for _, k := range x.out {
-			age := c.now - k.sentAt - c.ownWait
+			age := c.now - max(k.sentAt, c.resumed) - c.ownWait
 			switch {
 			case x.code != k.Destination || age.Seconds() <= overdueAt*c.aim.Seconds():
 			case x.lastAnswer < k.sentAt:
