--- a/brain/brain.go
+++ b/brain/brain.go
@@ -762,9 +762,6 @@
 	case Completed, Failed, NotSetUp:
 		c.alive(x)
 	case TimedOut, NoContact:
-		if k.sentAt < c.resumed {
-			break // the answer may have come while the controller stood still
-		}
 		if direct {
 			c.unanswered(x, k.sentAt)
 		} else {
@@ -853,7 +850,7 @@
 	for _, x := range c.order {
 		overdue := 0
 		for _, k := range x.out {
-			age := c.now - max(k.sentAt, c.resumed) - c.ownWait
+			age := c.now - k.sentAt - c.ownWait
 			switch {
 			case x.code != k.Destination || age.Seconds() <= overdueAt*c.aim.Seconds():
 			case x.lastAnswer < k.sentAt:
