--- a/brain/brain.go
+++ b/brain/brain.go
@@ -166,20 +166,19 @@
 	calls      map[uint64]*call
 	waiting    []*call
 	numbers    map[string]*number
-	stepDue    time.Duration   // when the next step is due
-	resumed    time.Duration   // when the controller last went on after a stall ...
-	stall      time.Duration   // ... that was so long
-	aim        time.Duration   // shortest aim of all classes
-	slow       time.Duration   // an answer that takes so long reads as full load
-	least      float64         // lowest worth of a class
-	quotas     float64         // of all tenants
-	patience   []time.Duration // per class, how long callers wait
-	credit     []float64       // per tenant, calls that it has left within its quota
-	ownWait    time.Duration   // wait at the own processor
-	heard      int             // answers to direct set-ups in this step ...
-	leastTime  time.Duration   // ... and the least of their times
-	answerTime time.Duration   // usual time of an answer of any exchange ...
-	answerDev  time.Duration   // ... and how far answers are off it
+	stepDue    time.Duration // when the next step is due
+	resumed    time.Duration // when the controller last went on after a stall ...
+	stall      time.Duration // ... that was so long
+	aim        time.Duration // shortest aim of all classes
+	slow       time.Duration // an answer that takes so long reads as full load
+	least      float64       // lowest worth of a class
+	quotas     float64       // of all tenants
+	credit     []float64     // per tenant, calls that it has left within its quota
+	ownWait    time.Duration // wait at the own processor
+	heard      int           // answers to direct set-ups in this step ...
+	leastTime  time.Duration // ... and the least of their times
+	answerTime time.Duration // usual time of an answer of any exchange ...
+	answerDev  time.Duration // ... and how far answers are off it
 }
 
 // New makes a controller.
@@ -193,8 +192,7 @@
 	}
 	c := &Controller{cfg: cfg, aim: math.MaxInt64, least: math.MaxFloat64,
 		exchanges: map[int]*exchange{}, byAddr: map[string]*exchange{},
-		calls: map[uint64]*call{}, numbers: map[string]*number{}, credit: make([]float64, len(cfg.Tenants)),
-		patience: make([]time.Duration, len(cfg.Classes))}
+		calls: map[uint64]*call{}, numbers: map[string]*number{}, credit: make([]float64, len(cfg.Tenants))}
 	for i, cl := range cfg.Classes {
 		if cl.Aim <= 0 || cl.Worth < 0 {
 			return nil, fmt.Errorf("class %d: the aim must be positive and the worth not negative", i)
@@ -269,7 +267,7 @@
 // resume notes that the controller stood still: its own timer comes late, and all that happened meanwhile comes
 // at once. Late answers, time-outs and slots held so long are its own doing, and tell of no far load or silence.
 func (c *Controller) resume(now time.Duration) {
-	c.stall, c.resumed, c.stepDue = now-c.now, now, now
+	c.resumed, c.stepDue = now, now
 	c.now = now
 	for _, x := range append(c.order, c.own) {
 		c.slot(x, 0)
@@ -364,11 +362,6 @@
 	}
 	k := &call{Offered: ev, arrived: c.now, worth: cl.Worth}
 	c.calls[ev.Call] = k
-	if c.now > c.resumed {
-		c.patience[ev.Class] = max(ev.Due-c.now, c.patience[ev.Class]-c.patience[ev.Class]/64)
-	} else { // it has waited here: since when, its due time tells
-		k.arrived = min(c.now, max(c.now-c.stall, ev.Due-c.patience[ev.Class]))
-	}
 	k.aimEnd = k.arrived + cl.Aim
 	if n := c.numbers[ev.Number]; ev.Transit {
 		k.aimEnd = ev.Due
