--- a/brain/brain.go
+++ b/brain/brain.go
@@ -135,12 +135,12 @@
 	earliest  time.Duration // not sent before: the release is awaited
 	worth     float64
 	attempts  int
-	tandems   int
 	tried     []int     // tandems already tried
 	to        *exchange // where the attempt out has gone
 	slotted   bool      // it holds a slot at to and at the own exchange
 	sentAt    time.Duration
 	mayRun    bool // an attempt may have been carried out
+	missed    bool // its attempt is known to be unanswered
 	late      bool // its aim cannot be met
 	low       bool // it earns little: its aim cannot be met, or its tenant is beyond its quota
 }
@@ -158,7 +158,6 @@
 	cfg        Config
 	now        time.Duration
 	out        []Action
-	started    bool
 	own        *exchange
 	exchanges  map[int]*exchange
 	order      []*exchange // by point code
@@ -170,6 +169,7 @@
 	resumed    time.Duration // when the controller last went on after a stall ...
 	stall      time.Duration // ... that was so long
 	aim        time.Duration // shortest aim of all classes
+	overdue    time.Duration // an answer is overdue after this
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
 	quotas     float64       // of all tenants
@@ -204,6 +204,7 @@
 		c.quotas += t.Quota
 	}
 	c.slow = time.Duration(slowShare * float64(c.aim))
+	c.overdue = time.Duration(overdueAt * float64(c.aim))
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
@@ -213,12 +214,11 @@
 
 // Handle takes one event at the time now and appends to out what is to be done.
 func (c *Controller) Handle(now time.Duration, ev Event, out []Action) []Action {
-	if c.started && now > c.stepDue+stallAt && now > c.now {
+	if c.stepDue > 0 && now > c.stepDue+stallAt {
 		c.resume(now)
 	}
 	c.now, c.out = now, out
-	if !c.started {
-		c.started = true
+	if c.stepDue == 0 {
 		c.nextStep()
 		if c.cfg.AskForList {
 			c.do(Subscribe{})
@@ -526,7 +526,7 @@
 	if !dest.grouped || room >= k.Circuits {
 		return dest, true
 	}
-	if k.tandems >= maxTandems || k.late {
+	if len(k.tried) >= maxTandems || k.late {
 		return nil, true
 	}
 	var choice *exchange
@@ -585,10 +585,9 @@
 		c.slot(c.own, 1)
 		k.slotted = true
 	}
-	k.phase, k.to, k.sentAt = setting, x, c.now
+	k.phase, k.to, k.sentAt, k.missed = setting, x, c.now, false
 	k.attempts++
 	if x.code != k.Destination {
-		k.tandems++
 		k.tried = append(k.tried, x.code)
 	}
 	if x.silent {
@@ -755,9 +754,9 @@
 	case Completed, Failed, NotSetUp:
 		c.alive(x)
 	case TimedOut, NoContact:
-		if direct {
+		if direct && !k.missed {
 			c.unanswered(x, k.sentAt)
-		} else {
+		} else if !direct {
 			// Whether it or the destination is at fault, not that way again.
 			c.turnBack(x, k.Destination)
 		}
@@ -841,20 +840,12 @@
 	}
 	c.heard, c.leastTime = 0, math.MaxInt64
 	for _, x := range c.order {
-		overdue := 0
-		for _, k := range x.out {
-			age := c.now - k.sentAt - c.ownWait
-			switch {
-			case x.code != k.Destination || age.Seconds() <= overdueAt*c.aim.Seconds():
-			case x.lastAnswer < k.sentAt:
-				overdue++
-			case x.lost < lossy:
-				c.evidence(x, age)
+		for _, k := range x.out { // a set-up is missed once: when it is overdue here, or else at its time-out
+			if x.code == k.Destination && !k.missed && c.now-k.sentAt-c.ownWait > c.overdue {
+				k.missed = true
+				c.unanswered(x, k.sentAt)
 			}
 		}
-		if overdue >= silentAfter && !x.silent {
-			x.silent, x.trialAt = true, c.now+trialEvery
-		}
 		for len(x.sends) > 0 && x.sends[0] <= c.now-c.cfg.FallSpan {
 			x.sends = x.sends[1:]
 		}
