Tried: windows under one slot, from the start, and shared trials

A trial each nine seconds finds a recovered exchange too late, and cold ones start with next to nothing.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,7 +21,9 @@
 	startWindow   = 20.0                   // slots at start, shared by all senders to a processor
 	ownStart      = 6.0                    // own window at start: a few times what is out usually
 	maxWindow     = 200.0                  // ceiling of a window
-	minSlots      = 1                      // a window always lets one set-up through
+	minSlots      = 1                      // a window always lets one set-up through ...
+	floorWindow   = 2.0                    // ... now and then: floor of all controllers' windows at a processor
+	trialRate     = 8.0                    // set-ups a second that all controllers make at a floor or to the silent
 	holdAtMost    = time.Second            // a call without a slot or circuit waits no longer
 	pressureDecay = 0.5                    // part of the evidence of load that is left after a step
 	slowShare     = 0.5                    // an answer that takes this share of the shortest aim is full load
@@ -99,6 +101,7 @@
 	lastAnswer time.Duration
 	lost       float64 // decayed number of set-ups lost while others were answered quickly
 	unanswered int
+	news       bool // there is evidence that no step has seen
 	silent     bool
 	trialAt    time.Duration
 	turned     map[int]turnBacks // as tandem: by destination, the calls that it turned back
@@ -172,6 +175,8 @@
 	overdue    time.Duration // an answer is overdue after this
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
+	floor      float64       // of a window
+	spread     time.Duration // between two of the own set-ups to an exchange that lets few through
 	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
@@ -208,6 +213,9 @@
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
+	others := float64(max(1, cfg.Controllers-1))
+	c.floor = min(minSlots, floorWindow/others)
+	c.spread = time.Duration(others / trialRate * float64(time.Second))
 	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
@@ -297,7 +305,7 @@
 		if x == nil {
 			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
 				launched: e.Launched, heldAt: c.now, turned: map[int]turnBacks{}, via: -1,
-				start: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
+				start: startWindow / float64(max(1, c.cfg.Controllers-1))}
 			x.window = x.start
 			c.exchanges[e.PointCode] = x
 			at, _ := slices.BinarySearchFunc(c.order, x, func(a, b *exchange) int { return a.code - b.code })
@@ -332,7 +340,7 @@
 func (c *Controller) fresh(x *exchange, launched time.Duration) {
 	x.launched = launched
 	x.silent, x.unanswered, x.answers, x.pressure, x.loadAt = false, 0, 0, 0, 0
-	x.window = max(minSlots, x.window*c.cfg.ColdShare)
+	x.window = max(c.floor, x.window*c.cfg.ColdShare)
 }
 
 func (c *Controller) cold(x *exchange) bool {
@@ -400,6 +408,7 @@
 // evidence notes an answer of x that took d.
 func (c *Controller) evidence(x *exchange, d time.Duration) {
 	x.answers++
+	x.news = true
 	x.pressure += min(1, max(0, d.Seconds()/c.slow.Seconds()))
 }
 
@@ -465,8 +474,21 @@
 // slots are the set-ups that the window of x lets out at once.
 func slots(x *exchange) int { return max(minSlots, int(x.window)) }
 
-// rested frees the slots whose rest is over. A full processor answers at once: without the rest its floor of
-// one slot would let through twenty set-ups a second, each of them work there for nothing.
+// rest keeps a slot of x held after an answer that took d: a window under one slot lets a set-up through for its
+// part of the time. With a slot each, seventy controllers would keep a slow processor in seconds of queue. A full
+// processor answers at once, so its slot rests in any case.
+func (c *Controller) rest(x *exchange, d, least time.Duration) {
+	if x.window < 1 {
+		least = max(least, min(time.Duration(float64(d)*(1/x.window-1)), c.spread))
+	}
+	if least > 0 && x != c.own {
+		c.slot(x, 1)
+		x.rests = append(x.rests, c.now+least)
+		slices.Sort(x.rests)
+	}
+}
+
+// rested frees the slots whose rest is over.
 func (c *Controller) rested(x *exchange) {
 	for len(x.rests) > 0 && x.rests[0] <= c.now {
 		x.rests = x.rests[1:]
@@ -503,7 +525,7 @@
 		return nil, false
 	}
 	if k.Transit {
-		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) &&
+		if !dest.silent && (len(dest.rests) == 0 || c.quick(dest)) && c.coldRoom(dest) &&
 			(!dest.grouped || dest.free >= k.Circuits+kept(dest)) {
 			return dest, false
 		}
@@ -591,7 +613,7 @@
 		k.tried = append(k.tried, x.code)
 	}
 	if x.silent {
-		x.trialAt = c.now + trialEvery
+		x.trialAt = c.now + max(trialEvery, c.spread)
 	}
 	if n := c.numbers[k.Number]; n != nil {
 		n.out++
@@ -687,6 +709,9 @@
 		d.via = x.code
 		x.turned[d.code] = turnBacks{n: -1}
 	}
+	if k.slotted {
+		c.rest(x, ev.Delay-c.ownWait, 0)
+	}
 	c.answered(k)
 	if k.phase == setting {
 		k.phase = standing
@@ -706,9 +731,9 @@
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
 	if setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent {
-		c.slot(k.to, 1) // the slot of a full answer rests
-		k.to.rests = append(k.to.rests, c.now+max(fullRest, ev.Wait))
-		slices.Sort(k.to.rests)
+		c.rest(k.to, c.aim, max(fullRest, ev.Wait))
+	} else if setUp && k.slotted && ev.Cause == TimedOut {
+		c.rest(k.to, c.now-k.sentAt, 0)
 	}
 	c.answered(k)
 	if x != nil && setUp {
@@ -812,7 +837,7 @@
 		return
 	}
 	if x.unanswered++; x.unanswered >= silentAfter && !x.silent {
-		x.silent, x.trialAt = true, c.now+trialEvery
+		x.silent, x.trialAt = true, c.now+max(trialEvery, c.spread)
 	}
 }
 
@@ -888,6 +913,13 @@
 		return
 	}
 	full := float64(slots(x))
+	if x.window < 1 {
+		if !x.news { // each step of a thin window needs an answer
+			return
+		}
+		full = x.window
+	}
+	x.news = false
 	share := full
 	if load < setMid {
 		// A window that a short pause has cut has all its few slots held, which reads High though nothing is
@@ -898,7 +930,7 @@
 	if change > 0 && float64(peak) < full-1 {
 		return // it grows only when its slots were nearly all used
 	}
-	x.window = min(maxWindow, max(minSlots, x.window*(1+change)))
+	x.window = min(maxWindow, max(c.floor, x.window*(1+change)))
 }
 
 // table is Table I: rows by load, columns by share of slots held; Low, Medium, High.
