Windows go under one slot by evidence of load alone

Slow exchanges stand nothing there: their controllers send call after call that comes back full within the travel time, from the own processor.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -305,7 +305,7 @@
 		if x == nil {
 			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
 				launched: e.Launched, heldAt: c.now, turned: map[int]turnBacks{}, via: -1,
-				start: startWindow / float64(max(1, c.cfg.Controllers-1))}
+				start: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
 			x.window = x.start
 			c.exchanges[e.PointCode] = x
 			at, _ := slices.BinarySearchFunc(c.order, x, func(a, b *exchange) int { return a.code - b.code })
@@ -340,7 +340,7 @@
 func (c *Controller) fresh(x *exchange, launched time.Duration) {
 	x.launched = launched
 	x.silent, x.unanswered, x.answers, x.pressure, x.loadAt = false, 0, 0, 0, 0
-	x.window = max(c.floor, x.window*c.cfg.ColdShare)
+	x.window = max(minSlots, x.window*c.cfg.ColdShare)
 }
 
 func (c *Controller) cold(x *exchange) bool {
@@ -613,7 +613,7 @@
 		k.tried = append(k.tried, x.code)
 	}
 	if x.silent {
-		x.trialAt = c.now + max(trialEvery, c.spread)
+		x.trialAt = c.now + trialEvery
 	}
 	if n := c.numbers[k.Number]; n != nil {
 		n.out++
@@ -837,7 +837,7 @@
 		return
 	}
 	if x.unanswered++; x.unanswered >= silentAfter && !x.silent {
-		x.silent, x.trialAt = true, c.now+max(trialEvery, c.spread)
+		x.silent, x.trialAt = true, c.now+trialEvery
 	}
 }
 
