Tried: own processor full told from far ones; three trials a second over all controllers

A slow exchange is kept full by looks at its own callers' redials, which no controller can spare it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,7 @@
 	maxWindow     = 200.0                  // ceiling of a window
 	minSlots      = 1                      // a window always lets one set-up through ...
 	floorWindow   = 2.0                    // ... now and then: floor of all controllers' windows at a processor
-	trialRate     = 8.0                    // set-ups a second that all controllers make at a floor or to the silent
+	trialRate     = 3.0                    // set-ups a second that all controllers make at a floor or to the silent
 	holdAtMost    = time.Second            // a call without a slot or circuit waits no longer
 	pressureDecay = 0.5                    // part of the evidence of load that is left after a step
 	slowShare     = 0.5                    // an answer that takes this share of the shortest aim is full load
@@ -58,6 +58,7 @@
 	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
 	trialEvery  = time.Second             // between the trial calls to a silent exchange
 	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
+	fullByOwn   = 3                       // exchanges that seem full, without any other answer, from which on it is the own processor
 	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
@@ -179,6 +180,7 @@
 	spread     time.Duration // between two of the own set-ups to an exchange that lets few through
 	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
+	fulls      []int         // exchanges that seem full since the last other answer
 	ownWait    time.Duration // wait at the own processor
 	heard      int           // answers to direct set-ups in this step ...
 	leastTime  time.Duration // ... and the least of their times
@@ -481,13 +483,22 @@
 	if x.window < 1 {
 		least = max(least, min(time.Duration(float64(d)*(1/x.window-1)), c.spread))
 	}
-	if least > 0 && x != c.own {
+	if least > 0 {
 		c.slot(x, 1)
 		x.rests = append(x.rests, c.now+least)
 		slices.Sort(x.rests)
 	}
 }
 
+// ownFull takes note of a full answer of x and tells whether it came from the own processor, which every set-up
+// passes first: then exchange after exchange seems full, and none answers otherwise.
+func (c *Controller) ownFull(x *exchange) bool {
+	if !slices.Contains(c.fulls, x.code) {
+		c.fulls = append(c.fulls, x.code)
+	}
+	return len(c.fulls) >= fullByOwn
+}
+
 // rested frees the slots whose rest is over.
 func (c *Controller) rested(x *exchange) {
 	for len(x.rests) > 0 && x.rests[0] <= c.now {
@@ -686,6 +697,7 @@
 
 // alive notes a sign of life of x.
 func (c *Controller) alive(x *exchange) {
+	c.fulls = c.fulls[:0]
 	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
 }
 
@@ -730,7 +742,13 @@
 	}
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
-	if setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent {
+	full := setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent
+	if full && c.ownFull(k.to) {
+		ev.Reason = NoReason
+		c.evidence(c.own, c.aim)
+		c.ownWait = c.aim
+		c.rest(c.own, c.aim, fullRest)
+	} else if full {
 		c.rest(k.to, c.aim, max(fullRest, ev.Wait))
 	} else if setUp && k.slotted && ev.Cause == TimedOut {
 		c.rest(k.to, c.now-k.sentAt, 0)
@@ -777,7 +795,11 @@
 func (c *Controller) learn(k *call, x *exchange, direct bool, ev Returned) {
 	switch ev.Cause {
 	case Completed, Failed, NotSetUp:
+		fulls := len(c.fulls)
 		c.alive(x)
+		if ev.Reason == ProcessorFull || ev.Reason == NoReason {
+			c.fulls = c.fulls[:fulls]
+		}
 	case TimedOut, NoContact:
 		if direct && !k.missed {
 			c.unanswered(x, k.sentAt)
