--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,9 +21,7 @@
 	startWindow   = 20.0                   // slots at start, shared by all senders to a processor
 	ownStart      = 6.0                    // own window at start: a few times what is out usually
 	maxWindow     = 200.0                  // ceiling of a window
-	minSlots      = 1                      // a window always lets one set-up through ...
-	floorWindow   = 2.0                    // ... now and then: floor of all controllers' windows at a processor
-	trialRate     = 3.0                    // set-ups a second that all controllers make at a floor or to the silent
+	minSlots      = 1                      // a window always lets one set-up through
 	holdAtMost    = time.Second            // a call without a slot or circuit waits no longer
 	pressureDecay = 0.5                    // part of the evidence of load that is left after a step
 	slowShare     = 0.5                    // an answer that takes this share of the shortest aim is full load
@@ -58,7 +56,6 @@
 	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
 	trialEvery  = time.Second             // between the trial calls to a silent exchange
 	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
-	fullByOwn   = 3                       // exchanges that seem full, without any other answer, from which on it is the own processor
 	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
@@ -102,7 +99,6 @@
 	lastAnswer time.Duration
 	lost       float64 // decayed number of set-ups lost while others were answered quickly
 	unanswered int
-	news       bool // there is evidence that no step has seen
 	silent     bool
 	trialAt    time.Duration
 	turned     map[int]turnBacks // as tandem: by destination, the calls that it turned back
@@ -176,11 +172,8 @@
 	overdue    time.Duration // an answer is overdue after this
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
-	floor      float64       // of a window
-	spread     time.Duration // between two of the own set-ups to an exchange that lets few through
 	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
-	fulls      []int         // exchanges that seem full since the last other answer
 	ownWait    time.Duration // wait at the own processor
 	heard      int           // answers to direct set-ups in this step ...
 	leastTime  time.Duration // ... and the least of their times
@@ -215,9 +208,6 @@
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
-	others := float64(max(1, cfg.Controllers-1))
-	c.floor = min(minSlots, floorWindow/others)
-	c.spread = time.Duration(others / trialRate * float64(time.Second))
 	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
@@ -410,7 +400,6 @@
 // evidence notes an answer of x that took d.
 func (c *Controller) evidence(x *exchange, d time.Duration) {
 	x.answers++
-	x.news = true
 	x.pressure += min(1, max(0, d.Seconds()/c.slow.Seconds()))
 }
 
@@ -476,30 +465,8 @@
 // slots are the set-ups that the window of x lets out at once.
 func slots(x *exchange) int { return max(minSlots, int(x.window)) }
 
-// rest keeps a slot of x held after an answer that took d: a window under one slot lets a set-up through for its
-// part of the time. With a slot each, seventy controllers would keep a slow processor in seconds of queue. A full
-// processor answers at once, so its slot rests in any case.
-func (c *Controller) rest(x *exchange, d, least time.Duration) {
-	if x.window < 1 {
-		least = max(least, min(time.Duration(float64(d)*(1/x.window-1)), c.spread))
-	}
-	if least > 0 {
-		c.slot(x, 1)
-		x.rests = append(x.rests, c.now+least)
-		slices.Sort(x.rests)
-	}
-}
-
-// ownFull takes note of a full answer of x and tells whether it came from the own processor, which every set-up
-// passes first: then exchange after exchange seems full, and none answers otherwise.
-func (c *Controller) ownFull(x *exchange) bool {
-	if !slices.Contains(c.fulls, x.code) {
-		c.fulls = append(c.fulls, x.code)
-	}
-	return len(c.fulls) >= fullByOwn
-}
-
-// rested frees the slots whose rest is over.
+// rested frees the slots whose rest is over. A full processor answers at once: without the rest its floor of
+// one slot would let through twenty set-ups a second, each of them work there for nothing.
 func (c *Controller) rested(x *exchange) {
 	for len(x.rests) > 0 && x.rests[0] <= c.now {
 		x.rests = x.rests[1:]
@@ -536,7 +503,7 @@
 		return nil, false
 	}
 	if k.Transit {
-		if !dest.silent && (len(dest.rests) == 0 || c.quick(dest)) && c.coldRoom(dest) &&
+		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) &&
 			(!dest.grouped || dest.free >= k.Circuits+kept(dest)) {
 			return dest, false
 		}
@@ -697,7 +664,6 @@
 
 // alive notes a sign of life of x.
 func (c *Controller) alive(x *exchange) {
-	c.fulls = c.fulls[:0]
 	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
 }
 
@@ -721,9 +687,6 @@
 		d.via = x.code
 		x.turned[d.code] = turnBacks{n: -1}
 	}
-	if k.slotted {
-		c.rest(x, ev.Delay-c.ownWait, 0)
-	}
 	c.answered(k)
 	if k.phase == setting {
 		k.phase = standing
@@ -742,16 +705,10 @@
 	}
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
-	full := setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent
-	if full && c.ownFull(k.to) {
-		ev.Reason = NoReason
-		c.evidence(c.own, c.aim)
-		c.ownWait = c.aim
-		c.rest(c.own, c.aim, fullRest)
-	} else if full {
-		c.rest(k.to, c.aim, max(fullRest, ev.Wait))
-	} else if setUp && k.slotted && ev.Cause == TimedOut {
-		c.rest(k.to, c.now-k.sentAt, 0)
+	if setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent {
+		c.slot(k.to, 1) // the slot of a full answer rests
+		k.to.rests = append(k.to.rests, c.now+max(fullRest, ev.Wait))
+		slices.Sort(k.to.rests)
 	}
 	c.answered(k)
 	if x != nil && setUp {
@@ -795,11 +752,7 @@
 func (c *Controller) learn(k *call, x *exchange, direct bool, ev Returned) {
 	switch ev.Cause {
 	case Completed, Failed, NotSetUp:
-		fulls := len(c.fulls)
 		c.alive(x)
-		if ev.Reason == ProcessorFull || ev.Reason == NoReason {
-			c.fulls = c.fulls[:fulls]
-		}
 	case TimedOut, NoContact:
 		if direct && !k.missed {
 			c.unanswered(x, k.sentAt)
@@ -935,13 +888,6 @@
 		return
 	}
 	full := float64(slots(x))
-	if x.window < 1 {
-		if !x.news { // each step of a thin window needs an answer
-			return
-		}
-		full = x.window
-	}
-	x.news = false
 	share := full
 	if load < setMid {
 		// A window that a short pause has cut has all its few slots held, which reads High though nothing is
@@ -952,7 +898,7 @@
 	if change > 0 && float64(peak) < full-1 {
 		return // it grows only when its slots were nearly all used
 	}
-	x.window = min(maxWindow, max(c.floor, x.window*(1+change)))
+	x.window = min(maxWindow, max(minSlots, x.window*(1+change)))
 }
 
 // table is Table I: rows by load, columns by share of slots held; Low, Medium, High.
