--- a/brain/brain.go
+++ b/brain/brain.go
@@ -240,7 +240,7 @@
 	case Status:
 		if x := c.byAddr[ev.Exchange]; x != nil {
 			c.report(x, &ev.Report)
-			c.serve()
+			c.serve(x)
 		}
 	case Timer:
 		if ev.ID == stepTimer {
@@ -325,7 +325,7 @@
 			x.health = Gone
 		}
 	}
-	c.serve()
+	c.serve(nil)
 }
 
 // fresh notes that the processor of x has started anew: it is cold, and what was known of its load is void.
@@ -407,7 +407,7 @@
 func (c *Controller) place(k *call) {
 	waits := slices.Index(c.waiting, k)
 	if c.now >= k.earliest {
-		x, wait := c.route(k)
+		x, wait := c.route(k, nil)
 		if x != nil && c.send(k, x) {
 			if waits >= 0 {
 				c.waiting = slices.Delete(c.waiting, waits, waits+1)
@@ -451,11 +451,15 @@
 	return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(b.arrived, a.arrived), cmp.Compare(b.Call, a.Call))
 }
 
-// serve tries the held calls again when something may have come free.
-func (c *Controller) serve() {
+// serve tries the held calls again when something has come free at x, or anywhere if x is nil. Only calls to x
+// and calls that x can carry as tandem are looked at: with many exchanges a scan for each call would cost too much.
+func (c *Controller) serve(x *exchange) {
+	if c.own.held >= slots(c.own)+slotsForPrior {
+		return
+	}
 	for _, k := range slices.Clone(c.waiting) {
 		if k.phase == held && c.now >= k.earliest {
-			if x, _ := c.route(k); x != nil {
+			if to, _ := c.route(k, x); to != nil {
 				c.place(k)
 			}
 		}
@@ -493,8 +497,9 @@
 	return !k.low && (k.CutBefore || k.worth > c.least)
 }
 
-// route chooses where a call goes next, or nil; wait tells whether it may be held for a slot or circuit.
-func (c *Controller) route(k *call) (x *exchange, wait bool) {
+// route chooses where a call goes next, or nil; wait tells whether it may be held for a slot or circuit. If only is
+// set, something has changed there alone.
+func (c *Controller) route(k *call, only *exchange) (x *exchange, wait bool) {
 	dest := c.exchanges[k.Destination]
 	if dest == nil || dest.health != Ready {
 		return nil, false
@@ -531,7 +536,11 @@
 	}
 	var choice *exchange
 	var least uint64
-	for _, t := range c.order {
+	tandems := c.order
+	if only != nil {
+		tandems = []*exchange{only}
+	}
+	for _, t := range tandems {
 		turned := t.turned[dest.code]
 		if t == dest || t.health != Ready || !t.grouped || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+kept(t) ||
@@ -691,7 +700,7 @@
 	if k.phase == setting {
 		k.phase = standing
 	}
-	c.serve()
+	c.serve(nil)
 }
 
 func (c *Controller) returned(ev Returned) {
@@ -717,7 +726,7 @@
 	if ev.Final || k.phase != setting {
 		k.phase = max(k.phase, standing)
 		c.end(k, nil)
-		c.serve()
+		c.serve(nil)
 		return
 	}
 	k.phase = held
@@ -745,7 +754,7 @@
 	} else {
 		c.end(k, c.refusal(k))
 	}
-	c.serve()
+	c.serve(nil)
 }
 
 // learn draws from an attempt that has ended what it tells of the exchange and the number.
@@ -865,7 +874,7 @@
 			delete(c.numbers, key)
 		}
 	}
-	c.serve()
+	c.serve(nil)
 }
 
 // resize is the step of one window: Wmax += dW * Wmax, dW from Table I.
