--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,9 +59,6 @@
 	fullRest    = time.Second             // a slot that came back full stays held so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
-	lostDecay   = 0.9                     // part of it left after a step
-	lossy       = 1.5                     // set-ups lost, decayed, from which on attempts are made again
-	tails       = 4                       // deviations after which an answer is taken for lost
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
 	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
 	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
@@ -97,7 +94,6 @@
 
 	out        []*call // attempts out towards it, by time of send
 	lastAnswer time.Duration
-	lost       float64 // decayed number of set-ups lost while others were answered quickly
 	unanswered int
 	silent     bool
 	trialAt    time.Duration
@@ -177,8 +173,7 @@
 	ownWait    time.Duration // wait at the own processor
 	heard      int           // answers to direct set-ups in this step ...
 	leastTime  time.Duration // ... and the least of their times
-	answerTime time.Duration // usual time of an answer of any exchange ...
-	answerDev  time.Duration // ... and how far answers are off it
+	answerTime time.Duration // usual time of an answer of any exchange
 }
 
 // New makes a controller.
@@ -583,13 +578,7 @@
 	}
 	timeOut := k.Due - c.now
 	if !k.Transit {
-		left := k.aimEnd - c.now
-		// An exchange that answers quickly but loses some set-ups is tried a second time within the aim.
-		if first := max(minTimeOut, c.answerTime+tails*c.answerDev); k.attempts == 0 && x.code == k.Destination &&
-			x.lost >= lossy && c.quick(x) && first+c.cfg.Guard+c.answerTime+c.answerDev < left {
-			left = first
-		}
-		timeOut = min(timeOut, max(minTimeOut, left))
+		timeOut = min(timeOut, max(minTimeOut, k.aimEnd-c.now))
 		c.slot(x, 1)
 		c.slot(c.own, 1)
 		k.slotted = true
@@ -686,11 +675,7 @@
 	if x.code == k.Destination && k.sentAt >= c.resumed {
 		c.evidence(x, ev.Delay-c.ownWait)
 		c.heard, c.leastTime = c.heard+1, min(c.leastTime, ev.Delay)
-		off := ev.Delay - c.answerTime
-		if c.answerTime == 0 {
-			c.answerTime, c.answerDev, off = ev.Delay, ev.Delay/2, 0
-		}
-		c.answerTime, c.answerDev = c.answerTime+off/8, c.answerDev+(max(off, -off)-c.answerDev)/4
+		c.answerTime += (ev.Delay - c.answerTime) / 8
 	} else if d := c.exchanges[k.Destination]; d != nil && d != x {
 		c.alive(d)
 		d.via = x.code
@@ -735,7 +720,7 @@
 	case TimedOut, Reset, Cancelled: // what the attempt held may stay taken: the release is awaited
 		k.mayRun = true
 		k.earliest = c.now + c.cfg.Guard
-		again = ev.Cause != TimedOut || !direct || c.quick(x) && x.lost >= lossy
+		again = ev.Cause != TimedOut || !direct
 	case Failed:
 		k.mayRun = true
 		again = ev.Reason != NumberBusy
@@ -812,10 +797,7 @@
 // unanswered notes a set-up to x, sent at the given time, that has had no answer.
 func (c *Controller) unanswered(x *exchange, sent time.Duration) {
 	if x.lastAnswer >= sent {
-		if c.quick(x) { // others were answered, and quickly: it was lost
-			x.lost++
-		}
-		if x.lost < lossy { // a loss that lasts is no load
+		if !c.quick(x) { // others were answered, and quickly: it was lost, which is no load
 			c.evidence(x, c.aim)
 		}
 		return
@@ -863,7 +845,7 @@
 			rate := float64(x.sentStep) / stepEvery.Seconds()
 			x.usual += (rate - x.usual) * max(usualWeight, 1/x.steps)
 		}
-		x.sentStep, x.lost = 0, x.lost*lostDecay
+		x.sentStep = 0
 		c.resize(x)
 	}
 	c.own.answers, c.own.pressure = 0, 0
