--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -56,12 +57,14 @@
 	overdueAt   = 0.75                    // share of the shortest aim after which an answer is overdue
 	trialEvery  = time.Second             // between the trial calls to a silent exchange
 	answerSpare = 15 * time.Millisecond   // a held call is answered so long before its due time
-	fullRest    = time.Second             // a slot that came back full stays held so long
+	fullRest    = time.Second             // an exchange that was full gets nothing for so long
 	minTimeOut  = 300 * time.Millisecond  // no attempt is given less
 	busyHold    = 1000 * time.Millisecond // pause of set-ups to a number found busy
+	lostDecay   = 0.9                     // part of it left after a step
+	lossy       = 1.5                     // set-ups lost, decayed, from which on attempts are made again
+	tails       = 4                       // deviations after which an answer is taken for lost
 	maxPerBusy  = 1                       // set-ups out at once to a number found busy
-	numberKept  = 30 * time.Second        // a number's evidence is forgotten after this
-	redialKept  = 10 * time.Second        // the same number so soon after a refusal is the caller again
+	numberKept  = 10 * time.Second        // evidence on a number is forgotten after this; till then a call is a redial
 	coldSafety  = 1.2                     // of the cold budget; usual sends are under half of what it can do
 	usualWeight = 0.05                    // weight of one step in the usual rate of sends
 )
@@ -76,24 +79,24 @@
 	health   Health
 	launched time.Duration
 
-	window  float64         // Wmax
-	start   float64         // Wmax at the start
-	held    int             // slots held now
-	heldSum time.Duration   // slot time held in this step
-	heldAt  time.Duration   // heldSum is kept up to here
-	heldAvg [2]float64      // mean slots held, last step and the one before
-	peak    int             // most slots held in this step
-	rests   []time.Duration // until when slots are held that came back full
+	window    float64       // Wmax
+	start     float64       // Wmax at the start
+	held      int           // slots held now
+	heldSum   time.Duration // slot time held in this step
+	heldAt    time.Duration // heldSum is kept up to here
+	heldAvg   [2]float64    // mean slots held, last step and the one before
+	peak      int           // most slots held in this step
+	fullUntil time.Duration // it was full: no set-ups until then, as it answers at once, each work for nothing
 
 	answers, pressure float64 // decayed number of answers and the load that they showed
 	load              float64 // load by the last report
 	seen              float64 // first input of the last step
 	loadAt            time.Duration
-	free, size        float64
-	grouped           bool // the trunk group's state is known
+	free, size        float64 // circuits of the trunk group; a size below zero is unknown
 
 	out        []*call // attempts out towards it, by time of send
 	lastAnswer time.Duration
+	lost       float64 // decayed number of set-ups lost while others were answered quickly
 	unanswered int
 	silent     bool
 	trialAt    time.Duration
@@ -165,7 +168,6 @@
 	resumed    time.Duration // when the controller last went on after a stall ...
 	stall      time.Duration // ... that was so long
 	aim        time.Duration // shortest aim of all classes
-	overdue    time.Duration // an answer is overdue after this
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
 	quotas     float64       // of all tenants
@@ -173,7 +175,8 @@
 	ownWait    time.Duration // wait at the own processor
 	heard      int           // answers to direct set-ups in this step ...
 	leastTime  time.Duration // ... and the least of their times
-	answerTime time.Duration // usual time of an answer of any exchange
+	answerTime time.Duration // usual time of an answer of any exchange ...
+	answerDev  time.Duration // ... and how far answers are off it
 }
 
 // New makes a controller.
@@ -199,7 +202,6 @@
 		c.quotas += t.Quota
 	}
 	c.slow = time.Duration(slowShare * float64(c.aim))
-	c.overdue = time.Duration(overdueAt * float64(c.aim))
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
@@ -230,7 +232,7 @@
 		c.returned(ev)
 	case Released:
 		if k := c.calls[ev.Call]; k != nil && k.phase != over {
-			c.end(k, nil)
+			c.end(k, false)
 		}
 	case Status:
 		if x := c.byAddr[ev.Exchange]; x != nil {
@@ -291,7 +293,7 @@
 		x := c.exchanges[e.PointCode]
 		if x == nil {
 			x = &exchange{code: e.PointCode, addr: e.Address, health: e.Health,
-				launched: e.Launched, heldAt: c.now, turned: map[int]turnBacks{}, via: -1,
+				launched: e.Launched, heldAt: c.now, turned: map[int]turnBacks{}, via: -1, size: -1,
 				start: max(minSlots, startWindow/float64(max(1, c.cfg.Controllers-1)))}
 			x.window = x.start
 			c.exchanges[e.PointCode] = x
@@ -360,7 +362,7 @@
 	k.aimEnd = k.arrived + cl.Aim
 	if n := c.numbers[ev.Number]; ev.Transit {
 		k.aimEnd = ev.Due
-	} else if n != nil && !ev.CutBefore && n.refusedAt > 0 && c.now < n.refusedAt+redialKept {
+	} else if n != nil && !ev.CutBefore && n.refusedAt > 0 && c.now < n.refusedAt+numberKept {
 		k.aimEnd = n.aimEnd // dialled again: the aim runs from the first try
 	}
 	k.late = c.now+c.answerTime >= k.aimEnd
@@ -410,12 +412,12 @@
 			return
 		}
 		if !wait {
-			c.end(k, c.refusal(k))
+			c.end(k, true)
 			return
 		}
 	}
 	if c.now >= k.holdUntil || k.earliest >= k.holdUntil {
-		c.end(k, c.refusal(k))
+		c.end(k, true)
 		return
 	}
 	if waits < 0 {
@@ -464,18 +466,8 @@
 // slots are the set-ups that the window of x lets out at once.
 func slots(x *exchange) int { return max(minSlots, int(x.window)) }
 
-// rested frees the slots whose rest is over. A full processor answers at once: without the rest its floor of
-// one slot would let through twenty set-ups a second, each of them work there for nothing.
-func (c *Controller) rested(x *exchange) {
-	for len(x.rests) > 0 && x.rests[0] <= c.now {
-		x.rests = x.rests[1:]
-		c.slot(x, -1)
-	}
-}
-
 // admits tells whether a first set-up may take a slot at x.
 func (c *Controller) admits(x *exchange, k *call) bool {
-	c.rested(x)
 	if x.silent { // no load, but no sign of life either: single trials
 		return len(x.out) == 0 && c.now >= x.trialAt
 	}
@@ -483,7 +475,7 @@
 	if c.prior(k) {
 		limit += slotsForPrior
 	}
-	return x.held < limit && c.coldRoom(x)
+	return x.held < limit && c.now >= x.fullUntil && c.coldRoom(x)
 }
 
 // prior tells whether a call goes before others when room is short: it was cut and comes again, or its
@@ -503,8 +495,8 @@
 		return nil, false
 	}
 	if k.Transit {
-		if !dest.silent && len(dest.rests) == 0 && c.coldRoom(dest) &&
-			(!dest.grouped || dest.free >= k.Circuits+kept(dest)) {
+		if !dest.silent && c.now >= dest.fullUntil && c.coldRoom(dest) &&
+			(dest.size < 0 || dest.free >= k.Circuits+kept(dest)) {
 			return dest, false
 		}
 		return nil, false
@@ -513,17 +505,14 @@
 		(n.out >= maxPerBusy || c.now < n.busyAt+busyHold) {
 		return nil, false
 	}
-	if dest.silent && !c.admits(dest, k) {
-		return nil, false
-	}
 	if !c.admits(dest, k) || !c.admits(c.own, k) {
-		return nil, true
+		return nil, !dest.silent
 	}
 	room := dest.free
 	if k.low {
 		room -= kept(dest)
 	}
-	if !dest.grouped || room >= k.Circuits {
+	if dest.size < 0 || room >= k.Circuits {
 		return dest, true
 	}
 	if len(k.tried) >= maxTandems || k.late {
@@ -537,12 +526,12 @@
 	}
 	for _, t := range tandems {
 		turned := t.turned[dest.code]
-		if t == dest || t.health != Ready || !t.grouped || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
+		if t == dest || t.health != Ready || t.size < 0 || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
 			slices.Contains(k.tried, t.code) || t.free < k.Circuits+kept(t) ||
 			turned.n > 0 && c.now < turned.last+turnedBackKept {
 			continue
 		}
-		h := c.hash(k.Call, t.code)>>8 + uint64(min(turned.n+2, 255))<<56
+		h := rand.NewPCG(c.cfg.Seed^k.Call, uint64(t.code)).Uint64()>>8 + uint64(min(turned.n+2, 255))<<56
 		switch t.code { // the one that last carried a call there goes first, then the advised one
 		case dest.via:
 			h = 0
@@ -560,14 +549,6 @@
 // In a thin group two circuits are a large part, and calls without a direct group would find no way.
 func kept(x *exchange) float64 { return min(keptForDirect, math.Ceil(keptPart*x.size)) }
 
-// hash orders the tandems of a call.
-func (c *Controller) hash(id uint64, code int) uint64 {
-	h := c.cfg.Seed ^ id*0x9e3779b97f4a7c15 ^ uint64(code+1)*0xc2b2ae3d27d4eb4f
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
 // send starts an attempt. It is the one place that does, and here the rules hold whatever asked for it:
 // the call is live, within its time and has no attempt out, the exchange neither drains nor is gone, the
 // cold budget has room, and the release has been awaited.
@@ -578,7 +559,13 @@
 	}
 	timeOut := k.Due - c.now
 	if !k.Transit {
-		timeOut = min(timeOut, max(minTimeOut, k.aimEnd-c.now))
+		left := k.aimEnd - c.now
+		// An exchange that answers quickly but loses some set-ups is tried a second time within the aim.
+		if first := max(minTimeOut, c.answerTime+tails*c.answerDev); k.attempts == 0 && x.code == k.Destination &&
+			x.lost >= lossy && c.quick(x) && first+c.cfg.Guard+c.answerTime+c.answerDev < left {
+			left = first
+		}
+		timeOut = min(timeOut, max(minTimeOut, left))
 		c.slot(x, 1)
 		c.slot(c.own, 1)
 		k.slotted = true
@@ -629,18 +616,15 @@
 	k.to = nil
 }
 
-// refusal is the final answer for a call that is not set up.
-func (c *Controller) refusal(k *call) Action {
-	if k.mayRun && !c.cfg.Classes[k.Class].Repeatable {
-		return Fail{Call: k.Call}
-	}
-	return Refuse{Call: k.Call}
-}
-
-// end closes a call, with its final answer unless that has been given. No other place does.
-func (c *Controller) end(k *call, answer Action) {
-	if answer != nil && k.phase != over && k.phase != standing {
-		c.do(answer)
+// end closes a call, with its final answer if that is owed still. No other place does. A call of which an attempt
+// may have been carried out fails, any other is refused.
+func (c *Controller) end(k *call, owed bool) {
+	if owed && k.phase != over && k.phase != standing {
+		if k.mayRun {
+			c.do(Fail{Call: k.Call})
+		} else {
+			c.do(Refuse{Call: k.Call})
+		}
 		if !k.Transit {
 			n := c.number(k.Number)
 			n.refusedAt, n.aimEnd = c.now, k.aimEnd
@@ -675,7 +659,11 @@
 	if x.code == k.Destination && k.sentAt >= c.resumed {
 		c.evidence(x, ev.Delay-c.ownWait)
 		c.heard, c.leastTime = c.heard+1, min(c.leastTime, ev.Delay)
-		c.answerTime += (ev.Delay - c.answerTime) / 8
+		off := ev.Delay - c.answerTime
+		if c.answerTime == 0 {
+			c.answerTime, c.answerDev, off = ev.Delay, ev.Delay/2, 0
+		}
+		c.answerTime, c.answerDev = c.answerTime+off/8, c.answerDev+(max(off, -off)-c.answerDev)/4
 	} else if d := c.exchanges[k.Destination]; d != nil && d != x {
 		c.alive(d)
 		d.via = x.code
@@ -699,10 +687,8 @@
 	}
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
-	if setUp && k.slotted && ev.Reason == ProcessorFull && ev.Cause != NotSent {
-		c.slot(k.to, 1) // the slot of a full answer rests
-		k.to.rests = append(k.to.rests, c.now+max(fullRest, ev.Wait))
-		slices.Sort(k.to.rests)
+	if setUp && ev.Reason == ProcessorFull && ev.Cause != NotSent {
+		k.to.fullUntil = c.now + max(fullRest, ev.Wait)
 	}
 	c.answered(k)
 	if x != nil && setUp {
@@ -710,7 +696,7 @@
 	}
 	if ev.Final || k.phase != setting {
 		k.phase = max(k.phase, standing)
-		c.end(k, nil)
+		c.end(k, false)
 		c.serve(nil)
 		return
 	}
@@ -720,7 +706,7 @@
 	case TimedOut, Reset, Cancelled: // what the attempt held may stay taken: the release is awaited
 		k.mayRun = true
 		k.earliest = c.now + c.cfg.Guard
-		again = ev.Cause != TimedOut || !direct
+		again = ev.Cause != TimedOut || !direct || c.quick(x) && x.lost >= lossy
 	case Failed:
 		k.mayRun = true
 		again = ev.Reason != NumberBusy
@@ -734,10 +720,8 @@
 	}
 	if again && !k.Transit && c.now < k.Due-answerSpare {
 		c.place(k)
-	} else if ev.Cause == TimedOut {
-		c.end(k, Fail{Call: k.Call})
 	} else {
-		c.end(k, c.refusal(k))
+		c.end(k, true)
 	}
 	c.serve(nil)
 }
@@ -797,7 +781,10 @@
 // unanswered notes a set-up to x, sent at the given time, that has had no answer.
 func (c *Controller) unanswered(x *exchange, sent time.Duration) {
 	if x.lastAnswer >= sent {
-		if !c.quick(x) { // others were answered, and quickly: it was lost, which is no load
+		if c.quick(x) { // others were answered, and quickly: it was lost
+			x.lost++
+		}
+		if x.lost < lossy { // a loss that lasts is no load
 			c.evidence(x, c.aim)
 		}
 		return
@@ -810,7 +797,7 @@
 // report takes what is told of x.
 func (c *Controller) report(x *exchange, r *Report) {
 	if r.Free >= 0 && r.Size >= 0 {
-		x.free, x.size, x.grouped = r.Free, r.Size, true
+		x.free, x.size = r.Free, r.Size
 	}
 	load := r.Utilisation
 	slow := c.slow.Seconds()
@@ -832,7 +819,7 @@
 	c.heard, c.leastTime = 0, math.MaxInt64
 	for _, x := range c.order {
 		for _, k := range x.out { // a set-up is missed once: when it is overdue here, or else at its time-out
-			if x.code == k.Destination && !k.missed && c.now-k.sentAt-c.ownWait > c.overdue {
+			if x.code == k.Destination && !k.missed && (c.now-k.sentAt-c.ownWait).Seconds() > overdueAt*c.aim.Seconds() {
 				k.missed = true
 				c.unanswered(x, k.sentAt)
 			}
@@ -845,7 +832,7 @@
 			rate := float64(x.sentStep) / stepEvery.Seconds()
 			x.usual += (rate - x.usual) * max(usualWeight, 1/x.steps)
 		}
-		x.sentStep = 0
+		x.sentStep, x.lost = 0, x.lost*lostDecay
 		c.resize(x)
 	}
 	c.own.answers, c.own.pressure = 0, 0
@@ -861,7 +848,6 @@
 
 // resize is the step of one window: Wmax += dW * Wmax, dW from Table I.
 func (c *Controller) resize(x *exchange) {
-	c.rested(x)
 	c.slot(x, 0)
 	x.heldAvg[1], x.heldAvg[0] = x.heldAvg[0], x.heldSum.Seconds()/stepEvery.Seconds()
 	peak := x.peak
