Time-outs of impatient callers are no evidence; cold budget by what the usual sends fill

It holds for any time-out shorter than three usual answer times, and may hide a real silence where no caller waits longer.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -64,7 +64,7 @@
 	lossy       = 1.5                    // set-ups lost, decayed, from which on attempts are made again
 	tails       = 3                      // usual answer times after which an answer is taken for lost
 	numberKept  = 10 * time.Second       // a number is forgotten after this; till then a call is a redial
-	coldSafety  = 1.2                    // of the cold budget; usual sends are under half of what it can do
+	coldUse     = 2.4                    // of the budget that usual sends fill: they are a part of what it can do
 	usualWeight = 0.05                   // weight of one step in the usual rate of sends
 )
 
@@ -342,7 +342,7 @@
 	if !c.cold(x) {
 		return true
 	}
-	budget := coldSafety * c.cfg.FallMultiple * c.cfg.ColdShare * x.usual * c.cfg.FallSpan.Seconds()
+	budget := coldUse * c.cfg.FallMultiple * c.cfg.ColdShare * x.usual * c.cfg.FallSpan.Seconds()
 	return float64(len(x.sends)+1) <= max(1, budget)
 }
 
@@ -725,9 +725,11 @@
 	case Completed, Failed, NotSetUp:
 		c.alive(x)
 	case TimedOut, NoContact:
-		if direct && !k.missed {
+		// An attempt that its caller has given less than an answer may take tells nothing.
+		short := ev.Cause == TimedOut && c.now-k.sentAt < tails*c.answerTime
+		if direct && !k.missed && !short {
 			c.unanswered(x, k.sentAt)
-		} else if !direct {
+		} else if !direct && !short {
 			// Whether it or the destination is at fault, not that way again.
 			c.turnBack(x, k.Destination)
 		}
