--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,7 @@
 const (
 	slotsForPrior  = 1               // slots beyond the window for calls of higher worth and cut calls
 	quotaBurst     = 15.0            // calls that a tenant may have in hand of its quota
-	maxTandems     = 2               // tandems tried for a call
+	maxTandems     = 3               // tandems tried for a call
 	keptForDirect  = 2               // circuits of a group that transit and tandem calls leave free
 	keptPart       = 0.1             // ... but of a thin group only this part, rounded up
 	turnedBackKept = 2 * time.Second // a tandem that turned back is skipped for that destination so long ...
@@ -64,7 +64,7 @@
 	lossy       = 1.5                    // set-ups lost, decayed, from which on attempts are made again
 	tails       = 3                      // usual answer times after which an answer is taken for lost
 	numberKept  = 10 * time.Second       // a number is forgotten after this; till then a call is a redial
-	coldUse     = 2.4                    // of the budget that usual sends fill: they are a part of what it can do
+	coldUse     = 2.4                    // of the budget that usual sends fill: a part of what it can do
 	usualWeight = 0.05                   // weight of one step in the usual rate of sends
 )
 
