--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,9 +45,9 @@
 const (
 	slotsForPrior  = 1               // slots beyond the window for calls of higher worth and cut calls
 	quotaBurst     = 15.0            // calls that a tenant may have in hand of its quota
-	maxTandems     = 3               // tandems tried for a call
+	maxTandems     = 2               // tandems tried for a call
 	keptForDirect  = 2               // circuits of a group that transit and tandem calls leave free
-	keptPart       = 0.1             // ... but of a thin group only this part, rounded up
+	keptPart       = 0.05            // ... but of a thin group only this part, rounded up
 	turnedBackKept = 2 * time.Second // a tandem that turned back is skipped for that destination so long ...
 )
 
