--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,7 +20,7 @@
 const (
 	stepEvery     = 500 * time.Millisecond // between two steps of the windows
 	startWindow   = 20.0                   // slots at start, shared by all senders to a processor
-	ownStart      = 6.0                    // own window at start: a few times what is out usually
+	ownStart      = 10.0                   // own window at start: a few times what is out usually
 	maxWindow     = 200.0                  // ceiling of a window
 	minSlots      = 1                      // a window always lets one set-up through
 	holdAtMost    = time.Second            // a call without a slot or circuit waits no longer
