--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,7 +20,7 @@
 const (
 	stepEvery     = 500 * time.Millisecond // between two steps of the windows
 	startWindow   = 20.0                   // slots at start, shared by all senders to a processor
-	ownStart      = 10.0                   // own window at start: a few times what is out usually
+	ownStart      = 6.0                    // own window at start: a few times what is out usually
 	maxWindow     = 200.0                  // ceiling of a window
 	minSlots      = 1                      // a window always lets one set-up through
 	holdAtMost    = time.Second            // a call without a slot or circuit waits no longer
@@ -55,7 +55,8 @@
 const (
 	silentAfter = 2                      // set-ups without any sign of life: the exchange is silent
 	overdueAt   = 0.75                   // share of the shortest aim after which an answer is overdue
-	trialEvery  = time.Second            // between the trial calls to a silent exchange
+	trialEvery  = time.Second            // between the trial calls to a silent exchange, at the least
+	trialRate   = 8.0                    // trial calls a second that all controllers together make to it
 	answerSpare = 15 * time.Millisecond  // a held call is answered so long before its due time
 	fullRest    = time.Second            // an exchange that was full gets nothing for so long
 	minTimeOut  = 300 * time.Millisecond // no attempt is given less
@@ -169,6 +170,7 @@
 	aim        time.Duration // shortest aim of all classes
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
+	trialEvery time.Duration // between two trial calls of this controller
 	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
@@ -203,6 +205,7 @@
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
+	c.trialEvery = max(trialEvery, time.Duration(float64(cfg.Controllers-1)/trialRate*float64(time.Second)))
 	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
@@ -576,7 +579,7 @@
 		k.tried = append(k.tried, x.code)
 	}
 	if x.silent {
-		x.trialAt = c.now + trialEvery
+		x.trialAt = c.now + c.trialEvery
 	}
 	if n := c.numbers[k.Number]; n != nil {
 		n.out++
@@ -784,7 +787,7 @@
 		return
 	}
 	if x.unanswered++; x.unanswered >= silentAfter && !x.silent {
-		x.silent, x.trialAt = true, c.now+trialEvery
+		x.silent, x.trialAt = true, c.now+c.trialEvery
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -59,7 +59,7 @@
 }
 
 func (r *rig) group(i int, free float64) []Action {
-	return r.do(Status{Exchange: addresses[i], OK: true, Report: Report{Free: free, Size: 20,
+	return r.do(Status{Exchange: addresses[i], OK: true, Report: Report{Free: free, Size: 40,
 		Utilisation: -1, Queue: -1, Rate: -1, Wait: -1, HoldBack: -1}})
 }
 
