--- a/brain/brain.go
+++ b/brain/brain.go
@@ -175,7 +175,6 @@
 	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
 	heard      int           // answers to direct set-ups in this step ...
-	failed     int           // direct set-ups in this step that came to nothing
 	leastTime  time.Duration // ... and the least of their times
 	answerTime time.Duration // usual time of an answer of any exchange
 }
@@ -407,18 +406,15 @@
 
 // place sends a call, holds it or refuses it.
 func (c *Controller) place(k *call) {
+	wait := true
 	if c.now >= k.earliest {
-		x, wait := c.route(k, nil)
-		if x != nil && c.send(k, x) {
+		var x *exchange
+		if x, wait = c.route(k, nil); x != nil && c.send(k, x) {
 			c.waiting = slices.DeleteFunc(c.waiting, func(w *call) bool { return w == k })
 			return
 		}
-		if !wait {
-			c.end(k, true)
-			return
-		}
 	}
-	if c.now >= k.holdUntil || k.earliest >= k.holdUntil {
+	if !wait || c.now >= k.holdUntil || k.earliest >= k.holdUntil {
 		c.end(k, true)
 		return
 	}
@@ -642,10 +638,6 @@
 // quick tells whether x answers and its load reads more Low than Medium.
 func (c *Controller) quick(x *exchange) bool { return !x.silent && x.seen <= (setLow+setMid)/2 }
 
-// ownFails tells whether most set-ups of this step have come to nothing, wherever they went. Every set-up passes
-// the own processor first: with many exchanges each sees too few of them to tell.
-func (c *Controller) ownFails() bool { return c.failed >= silentAfter && c.failed > 2*c.heard }
-
 // alive notes a sign of life of x.
 func (c *Controller) alive(x *exchange) {
 	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
@@ -690,9 +682,6 @@
 	setUp := k.to != nil // it had not stood
 	if setUp && ev.Reason == ProcessorFull && ev.Cause != NotSent {
 		k.to.fullUntil = c.now + max(fullRest, ev.Wait)
-		if c.failed++; c.ownFails() {
-			c.own.fullUntil = c.now + fullRest
-		}
 	}
 	c.answered(k)
 	if setUp && x != nil && x.addr == ev.Exchange { // a replaced machine tells nothing of its successor
@@ -785,7 +774,6 @@
 
 // unanswered notes a set-up to x, sent at the given time, that has had no answer.
 func (c *Controller) unanswered(x *exchange, sent time.Duration) {
-	c.failed++
 	if x.lastAnswer >= sent {
 		if c.quick(x) { // others were answered, and quickly: it was lost
 			x.lost++
@@ -821,6 +809,7 @@
 	if c.heard >= 2 { // what all answers have in common is the wait at the own processor
 		c.ownWait = c.leastTime
 	}
+	c.heard, c.leastTime = 0, math.MaxInt64
 	for _, x := range c.order {
 		for _, k := range x.out { // a set-up is missed once: when it is overdue here, or else at its time-out
 			age := (c.now - k.sentAt - c.ownWait).Seconds()
@@ -839,13 +828,8 @@
 		x.sentStep, x.lost = 0, x.lost*lostDecay
 		c.resize(x)
 	}
-	if c.ownFails() {
-		c.own.answers, c.own.pressure = 1, 1
-	} else if c.heard > 0 || c.failed == 0 {
-		c.own.answers, c.own.pressure = 0, 0
-		c.evidence(c.own, c.ownWait)
-	}
-	c.heard, c.failed, c.leastTime = 0, 0, math.MaxInt64
+	c.own.answers, c.own.pressure = 0, 0
+	c.evidence(c.own, c.ownWait)
 	c.resize(c.own)
 	for key, n := range c.numbers {
 		if n.out == 0 && c.now > max(n.busyAt, n.refusedAt)+numberKept {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -893,3 +893,23 @@
 		t.Error("set-ups without an answer for their whole aim are not silence")
 	}
 }
+
+func TestTrialsAreSharedByAllControllers(t *testing.T) {
+	for _, controllers := range []int{4, 81} {
+		cfg := config()
+		cfg.Controllers = controllers
+		r := newRig(t, cfg, 20)
+		r.c.exchanges[1].silent = true
+		sent := 0
+		for range 100 { // twenty seconds
+			r.pass(200 * ms)
+			if r.sentTo(r.call(1)) != "" {
+				sent++
+				r.returned(r.id, "a:1", NoContact, NoReason)
+			}
+		}
+		if all := float64(sent*(controllers-1)) / 20; sent < 2 || all > trialRate*1.25 {
+			t.Errorf("%d controllers: %d trials each, %v a second at the exchange", controllers, sent, all)
+		}
+	}
+}
