--- a/brain/brain.go
+++ b/brain/brain.go
@@ -98,7 +98,6 @@
 	lastAnswer time.Duration
 	lost       float64 // decayed number of set-ups lost while others were answered quickly
 	unanswered int
-	news       bool // there is evidence that no step has seen
 	silent     bool
 	trialAt    time.Duration
 	turned     map[int]turnBacks // as tandem: by destination, the calls that it turned back
@@ -172,7 +171,6 @@
 	slow       time.Duration // an answer that takes so long reads as full load
 	least      float64       // lowest worth of a class
 	trialEvery time.Duration // between two trial calls of this controller
-	floor      float64
 	quotas     float64       // of all tenants
 	credit     []float64     // per tenant, calls that it has left within its quota
 	ownWait    time.Duration // wait at the own processor
@@ -208,7 +206,6 @@
 		c.slow = min(c.slow, cfg.Repeat)
 	}
 	c.trialEvery = max(trialEvery, time.Duration(float64(cfg.Controllers-1)/trialRate*float64(time.Second)))
-	c.floor = min(1, 4/float64(max(1, cfg.Controllers-1)))
 	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
@@ -404,7 +401,6 @@
 // evidence notes an answer of x that took d.
 func (c *Controller) evidence(x *exchange, d time.Duration) {
 	x.answers++
-	x.news = true
 	x.pressure += min(1, max(0, d.Seconds()/c.slow.Seconds()))
 }
 
@@ -469,14 +465,6 @@
 // slots are the set-ups that the window of x lets out at once.
 func slots(x *exchange) int { return max(minSlots, int(x.window)) }
 
-// rest keeps x from first set-ups after an answer that took d, so that a window under one slot lets them out for
-// its part of the time: many controllers with a slot each would keep a slow processor in seconds of queue.
-func (c *Controller) rest(x *exchange, d time.Duration) {
-	if x.window < 1 {
-		x.fullUntil = max(x.fullUntil, c.now+min(time.Duration(float64(d)*(1/x.window-1)), c.trialEvery))
-	}
-}
-
 // admits tells whether a first set-up may take a slot at x.
 func (c *Controller) admits(x *exchange, k *call) bool {
 	if x.silent { // no load, but no sign of life either: single trials
@@ -674,9 +662,6 @@
 		d.via = x.code
 		x.turned[d.code] = turnBacks{n: -1}
 	}
-	if k.slotted && same {
-		c.rest(x, ev.Delay-c.ownWait)
-	}
 	c.answered(k)
 	if k.phase == setting {
 		k.phase = standing
@@ -873,13 +858,6 @@
 		return
 	}
 	full := float64(slots(x))
-	if x.window < 1 || x.window == 1 && load >= setMid {
-		if !x.news { // each step of a thin window needs an answer
-			return
-		}
-		full = min(1, x.window)
-	}
-	x.news = false
 	share := full
 	if load < setMid {
 		// A window that a short pause has cut has all its few slots held, which reads High though nothing is
@@ -890,7 +868,7 @@
 	if change > 0 && float64(peak) < full-1 {
 		return // it grows only when its slots were nearly all used
 	}
-	x.window = min(maxWindow, max(c.floor, x.window*(1+change)))
+	x.window = min(maxWindow, max(minSlots, x.window*(1+change)))
 }
 
 // table is Table I: rows by load, columns by share of slots held; Low, Medium, High.
