A silent exchange that answers opens trials to all silent ones

What one recovers from, others may have recovered from; where they have not it costs one trial each.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,7 +55,6 @@
 const (
 	silentAfter = 2                      // set-ups without any sign of life: the exchange is silent
 	overdueAt   = 0.75                   // share of the shortest aim after which an answer is overdue
-	trialEvery  = time.Second            // between the trial calls to a silent exchange, at the least
 	trialRate   = 8.0                    // trial calls a second that all controllers together make to it
 	answerSpare = 15 * time.Millisecond  // a held call is answered so long before its due time
 	fullRest    = time.Second            // an exchange that was full gets nothing for so long
@@ -205,7 +204,7 @@
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
-	c.trialEvery = max(trialEvery, time.Duration(float64(cfg.Controllers-1)/trialRate*float64(time.Second)))
+	c.trialEvery = time.Duration(float64(max(1, cfg.Controllers-1)) / trialRate * float64(time.Second))
 	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
@@ -265,8 +264,7 @@
 // resume notes that the controller stood still: its own timer comes late, and all that happened meanwhile
 // comes at once. Late answers and slots held so long are its own doing and tell of no far load.
 func (c *Controller) resume(now time.Duration) {
-	c.resumed, c.stepDue = now, now
-	c.now = now
+	c.resumed, c.stepDue, c.now = now, now, now
 	for _, x := range append(c.order, c.own) {
 		c.slot(x, 0)
 		x.heldSum = 0
@@ -531,10 +529,10 @@
 			continue
 		}
 		h := rand.NewPCG(c.cfg.Seed^k.Call, uint64(t.code)).Uint64()>>8 + uint64(min(turned.n+2, 255))<<56
-		switch t.code { // the one that last carried a call there goes first, then the advised one
-		case dest.via:
+		switch { // the one that last carried a call there goes first, then the advised one
+		case t.code == dest.via && turned.n <= 0:
 			h = 0
-		case k.Advised:
+		case t.code == k.Advised:
 			h = 1
 		}
 		if choice == nil || h < least {
@@ -640,6 +638,11 @@
 
 // alive notes a sign of life of x.
 func (c *Controller) alive(x *exchange) {
+	if x.silent { // what kept it silent may be over for others: a region comes back at once
+		for _, y := range c.order {
+			y.trialAt = c.now
+		}
+	}
 	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
 }
 
@@ -755,9 +758,6 @@
 // turnBack notes that x as tandem did not carry a call to the destination.
 func (c *Controller) turnBack(x *exchange, destination int) {
 	x.turned[destination] = turnBacks{max(0, x.turned[destination].n) + 1, c.now}
-	if d := c.exchanges[destination]; d != nil && d.via == x.code {
-		d.via = -1
-	}
 }
 
 // number is the evidence on one number.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -315,7 +315,7 @@
 	if acts := r.call(1); count[Refuse](acts) != 1 {
 		t.Fatalf("%v to a silent exchange, want Refuse", acts)
 	}
-	r.pass(trialEvery)
+	r.pass(r.c.trialEvery)
 	if acts := r.call(1); r.sentTo(acts) != "a:1" {
 		t.Fatalf("%v, want a trial", acts)
 	}
@@ -913,3 +913,22 @@
 		}
 	}
 }
+
+func TestOneBackOpensTrialsToAllSilent(t *testing.T) {
+	cfg := config()
+	cfg.Controllers = 81
+	r := newRig(t, cfg, 20)
+	for _, i := range []int{1, 2} {
+		r.c.exchanges[i].silent, r.c.exchanges[i].trialAt = true, r.now+r.c.trialEvery
+	}
+	if r.sentTo(r.call(2)) != "" {
+		t.Fatal("a trial before its time")
+	}
+	r.pass(r.c.trialEvery)
+	r.call(1)
+	r.c.exchanges[2].trialAt = r.now + r.c.trialEvery
+	r.do(Established{Call: r.id, Exchange: "a:1", Delay: 80 * ms})
+	if r.sentTo(r.call(2)) != "a:2" {
+		t.Error("one silent exchange is back, the other is not tried")
+	}
+}
