--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,7 +55,7 @@
 const (
 	silentAfter = 2                      // set-ups without any sign of life: the exchange is silent
 	overdueAt   = 0.75                   // share of the shortest aim after which an answer is overdue
-	trialRate   = 8.0                    // trial calls a second that all controllers together make to it
+	trialRate   = 16.0                   // trial calls a second that all controllers together make to it
 	answerSpare = 15 * time.Millisecond  // a held call is answered so long before its due time
 	fullRest    = time.Second            // an exchange that was full gets nothing for so long
 	minTimeOut  = 300 * time.Millisecond // no attempt is given less
