--- a/brain/brain.go
+++ b/brain/brain.go
@@ -57,9 +57,8 @@
 	overdueAt   = 0.75                   // share of the shortest aim after which an answer is overdue
 	trialRate   = 16.0                   // trial calls a second that all controllers together make to it
 	answerSpare = 15 * time.Millisecond  // a held call is answered so long before its due time
-	fullRest    = time.Second            // an exchange that was full gets nothing for so long
+	pause       = time.Second            // what is full, busy or silent gets nothing for so long at the least
 	minTimeOut  = 300 * time.Millisecond // no attempt is given less
-	busyHold    = time.Second            // pause of set-ups to a number found busy; one is out at a time
 	lostDecay   = 0.9                    // part of it left after a step
 	lossy       = 1.5                    // set-ups lost, decayed, from which on attempts are made again
 	tails       = 3                      // usual answer times after which an answer is taken for lost
@@ -204,7 +203,7 @@
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
 		c.slow = min(c.slow, cfg.Repeat)
 	}
-	c.trialEvery = time.Duration(float64(max(1, cfg.Controllers-1)) / trialRate * float64(time.Second))
+	c.trialEvery = max(pause, time.Duration(float64(cfg.Controllers-1)/trialRate*float64(time.Second)))
 	c.own = &exchange{code: cfg.Self, window: ownStart, start: ownStart}
 	return c, nil
 }
@@ -499,7 +498,7 @@
 		return nil, false
 	}
 	if n := c.numbers[k.Number]; n != nil && n.busyAt > 0 &&
-		(n.out > 0 || c.now < n.busyAt+busyHold) {
+		(n.out > 0 || c.now < n.busyAt+pause) {
 		return nil, false
 	}
 	if !c.admits(dest, k) || !c.admits(c.own, k) {
@@ -684,7 +683,7 @@
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
 	if setUp && ev.Reason == ProcessorFull && ev.Cause != NotSent {
-		k.to.fullUntil = c.now + max(fullRest, ev.Wait)
+		k.to.fullUntil = c.now + max(pause, ev.Wait)
 	}
 	c.answered(k)
 	if setUp && x != nil && x.addr == ev.Exchange { // a replaced machine tells nothing of its successor
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -503,7 +503,7 @@
 	if sent > 6 {
 		t.Errorf("%d set-ups in 5 s to a processor that is full", sent)
 	}
-	r.pass(fullRest)
+	r.pass(pause)
 	if r.sentTo(r.call(1)) != "a:1" || x.held != 1 {
 		t.Errorf("%d slots held after the rest, want the one in use", x.held)
 	}
@@ -786,7 +786,7 @@
 			t.Fatalf("%s: %v, want Refuse", c.name, acts)
 		}
 		if c.hot {
-			r.c.number("x").busyAt = r.now - busyHold
+			r.c.number("x").busyAt = r.now - pause
 		}
 		r.pass(time.Second)
 		r.call(1, number, func(o *Offered) { o.Redial = c.marked })
