--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -932,3 +932,45 @@
 		t.Error("one silent exchange is back, the other is not tried")
 	}
 }
+
+// An exchange that grows slower and slower is cut and left out as tandem before its answers reach the aim, and gets
+// no flood when it is back cold.
+func TestAgeingIsLeftInTime(t *testing.T) {
+	r := newRig(t, config(), 20)
+	x := r.c.exchanges[2]
+	window := x.window
+	for delay := 80 * ms; delay < 1100*ms; delay += 80 * ms {
+		for i := 1; i <= 3; i++ {
+			if r.sentTo(r.call(i)) != "" {
+				d := 80 * ms
+				if i == 2 {
+					d = delay
+				}
+				r.do(Established{Call: r.id, Exchange: addresses[i], Delay: d})
+			}
+		}
+		r.steps(1)
+	}
+	if x.window >= window || r.c.quick(x) {
+		t.Errorf("window %v of %v, quick %v though answers take a second", x.window, window, r.c.quick(x))
+	}
+	r.group(1, 0)
+	for range 20 {
+		if at := r.sentTo(r.call(1)); at == "a:2" {
+			t.Fatal("a tandem call went over the ageing exchange")
+		} else if at != "" {
+			r.do(Established{Call: r.id, Exchange: at, Delay: 80 * ms})
+		}
+	}
+	r.do(List{Entries: []Entry{{Address: "a:2", PointCode: 2, Launched: r.now}}})
+	sent := 0
+	for range 60 {
+		if at := r.sentTo(r.call(2)); at != "" {
+			sent++
+			r.do(Established{Call: r.id, Exchange: at, Delay: 80 * ms})
+		}
+	}
+	if budget := 1 + coldUse*2*0.4*x.usual*3; float64(sent) > budget {
+		t.Errorf("%d set-ups at once to an exchange back cold, %v at most", sent, budget)
+	}
+}
