Codecs of M3UA and ISUP, association state machine, timer wheel

The running program speaks M3UA-style signalling over TCP. The codecs follow RFC 4666 and Q.763, allocate nothing, and are checked octet by octet, by round trips and by fuzz targets.

--- /dev/null
+++ b/isup/isup_test.go
@@ -0,0 +1,234 @@
+package isup
+
+import (
+	"bytes"
+	"encoding/hex"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func number(t testing.TB, digits string) Number {
+	t.Helper()
+	n, err := ParseNumber(4, digits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// Each message written out by the tables of Q.763: CIC, type, fixed part, pointers, variable part, optional part.
+var samples = []struct {
+	name, hex string
+	msg       Message
+}{
+	{"IAM", "2301" + "01" + "00" + "6000" + "0a" + "03" + "02" + "07" + "05" + "84" + "10" + "214305" + // odd: 5 digits
+		"0a04" + "0413" + "8967" + "0105" + "010203" + "0510" + "3d01" + "14" + "00",
+		Message{CIC: 0x123, Type: IAM, Forward: 0x60, Category: CategoryOrdinary, Medium: 3, HasCalling: true, HasRef: true,
+			Ref: CallReference{0x010203, 0x1005}, HasHops: true, Hops: 20}},
+	{"ACM", "0100" + "06" + "1604" + "00", Message{CIC: 1, Type: ACM, Backward: 0x0416}},
+	{"ANM", "0100" + "09" + "00", Message{CIC: 1, Type: ANM}},
+	{"CON", "0100" + "07" + "1604" + "00", Message{CIC: 1, Type: CON, Backward: 0x0416}},
+	{"REL", "0100" + "0c" + "0200" + "02" + "84aa", Message{CIC: 1, Type: REL, Location: LocationNetwork, Cause: CauseCongestion}},
+	{"REL with level", "0100" + "0c" + "0204" + "02" + "84aa" + "270102" + "00",
+		Message{CIC: 1, Type: REL, Location: LocationNetwork, Cause: CauseCongestion, Congestion: 2}},
+	{"RLC", "0100" + "10" + "00", Message{CIC: 1, Type: RLC}},
+	{"RSC", "ff0f" + "12", Message{CIC: MaxCIC, Type: RSC}},
+	{"BLO", "0100" + "13", Message{CIC: 1, Type: BLO}},
+	{"UBL", "0100" + "14", Message{CIC: 1, Type: UBL}},
+	{"BLA", "0100" + "15", Message{CIC: 1, Type: BLA}},
+	{"UBA", "0100" + "16", Message{CIC: 1, Type: UBA}},
+	{"GRS", "0100" + "17" + "01" + "01" + "1f", Message{CIC: 1, Type: GRS, Range: 31, Status: []byte{}}},
+	{"GRA", "0100" + "29" + "01" + "05" + "1f" + "00000080", Message{CIC: 1, Type: GRA, Range: 31, Status: []byte{0, 0, 0, 0x80}}},
+	{"CGB", "0100" + "18" + "01" + "01" + "02" + "03" + "05", Message{CIC: 1, Type: CGB, Supervision: Hardware, Range: 3, Status: []byte{5}}},
+	{"CQM", "0100" + "2a" + "01" + "01" + "01", Message{CIC: 1, Type: CQM, Range: 1, Status: []byte{}}},
+	{"CQR", "0100" + "2b" + "0203" + "01" + "01" + "02" + "0c04", Message{CIC: 1, Type: CQR, Range: 1, Status: []byte{}, Circuits: []byte{0x0c, 0x04}}},
+	{"CPG", "0100" + "2c" + "01" + "00", Message{CIC: 1, Type: CPG, Event: 1}},
+}
+
+func TestFormats(t *testing.T) {
+	for _, s := range samples {
+		b, err := hex.DecodeString(s.hex)
+		if err != nil {
+			t.Fatal(s.name, err)
+		}
+		want := s.msg
+		if s.name == "IAM" {
+			want.Called, want.Calling = number(t, "12345"), number(t, "9876")
+		}
+		var m Message
+		if err := Decode(b, &m); err != nil {
+			t.Errorf("%s: %v", s.name, err)
+			continue
+		}
+		if got := Append(nil, &m); !bytes.Equal(got, b) {
+			t.Errorf("%s: encoded as %x, want %x", s.name, got, b)
+		}
+		if m.Optional = nil; !reflect.DeepEqual(m, want) {
+			t.Errorf("%s: decoded as %+v, want %+v", s.name, m, want)
+		}
+	}
+}
+
+// Every message cut off anywhere is refused or read, and never read past its end.
+func TestCutOff(t *testing.T) {
+	var m Message
+	for _, s := range samples {
+		b, _ := hex.DecodeString(s.hex)
+		for n := range b {
+			cut := append(make([]byte, 0, n), b[:n]...)
+			err := Decode(cut, &m)
+			if n < 3 && err == nil {
+				t.Errorf("%s cut to %d octets passes", s.name, n)
+			}
+		}
+	}
+	for what, text := range map[string]string{
+		"pointer beyond":     "0100" + "0c" + "0900" + "02" + "84aa",
+		"no end of options":  "0100" + "0c" + "0204" + "02" + "84aa" + "270102",
+		"option too long":    "0100" + "09" + "01" + "27ff02" + "00",
+		"range of 40":        "0100" + "17" + "01" + "01" + "28",
+		"states too few":     "0100" + "2b" + "0203" + "01" + "01" + "01" + "0c",
+		"status too short":   "0100" + "18" + "01" + "01" + "02" + "1f" + "05",
+		"unknown type":       "0100" + "99",
+		"cause of one octet": "0100" + "0c" + "0200" + "01" + "84",
+	} {
+		b, _ := hex.DecodeString(text)
+		if err := Decode(b, &m); err == nil {
+			t.Errorf("%s passes", what)
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for _, d := range []string{"", "1", "12", "123456789012345678901234", "0bcf"} {
+		if n := number(t, d); n.String() != d || n.Len() != len(d) {
+			t.Errorf("%q reads as %q", d, n)
+		}
+	}
+	for _, d := range []string{"12 3", "a", "1234567890123456789012345"} {
+		if _, err := ParseNumber(4, d); err == nil {
+			t.Errorf("%q passes", d)
+		}
+	}
+}
+
+// Unknown optional parameters pass, or are dropped, or end the call, as their instructions say (Q.764, 2.9.5.3).
+func TestUnknownParameters(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		compat  []byte
+		transit bool
+		want    Verdict
+		kept    int
+	}{
+		{"no instructions", nil, false, Accept, 2},
+		{"others' instructions", []byte{0x70, 0x90}, false, Accept, 2},
+		{"drop the parameter", []byte{0x71, 0x90}, false, Accept, 1},
+		{"drop the message", []byte{0x71, 0x88}, false, Discard, 2},
+		{"release", []byte{0x71, 0x82}, false, Release, 2},
+		{"release, but for end exchanges", []byte{0x71, 0x83}, true, Accept, 2},
+		{"two octets of instructions, then ours", []byte{0x70, 0x00, 0x80, 0x71, 0x90}, false, Accept, 1},
+		{"cut off", []byte{0x71}, false, Accept, 2},
+	} {
+		m := Message{Type: IAM, Compat: c.compat, Optional: []Optional{{0x71, nil}, {0x72, []byte{1}}}}
+		if got := Unknown(&m, c.transit); got != c.want || len(m.Optional) != c.kept {
+			t.Errorf("%s: verdict %v with %d parameters kept, want %v with %d", c.name, got, len(m.Optional), c.want, c.kept)
+		}
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		digits := rapid.StringMatching(`[0-9]{0,24}`)
+		called, _ := ParseNumber(rapid.Byte().Draw(t, "nature")&0x7f, digits.Draw(t, "called"))
+		m := Message{CIC: rapid.Uint16Max(MaxCIC).Draw(t, "cic"), Type: IAM, Nature: rapid.Byte().Draw(t, "n"),
+			Forward: rapid.Uint16().Draw(t, "f"), Category: Category(rapid.Byte().Draw(t, "cat")), Medium: 3, Called: called,
+			HasRef: rapid.Bool().Draw(t, "ref"), HasHops: rapid.Bool().Draw(t, "hops"), HasDelay: rapid.Bool().Draw(t, "delay")}
+		if m.HasRef {
+			m.Ref = CallReference{rapid.Uint32Max(1<<24-1).Draw(t, "id"), rapid.Uint16Max(1<<14-1).Draw(t, "pc")}
+		}
+		if m.HasHops {
+			m.Hops = rapid.ByteMax(31).Draw(t, "h")
+		}
+		if m.HasDelay {
+			m.Delay = rapid.Uint16().Draw(t, "d")
+		}
+		if rapid.Bool().Draw(t, "opt") {
+			m.Optional = []Optional{{0x71, rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "v")}}
+		}
+		var got Message
+		if err := Decode(Append(nil, &m), &got); err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(Append(nil, &got), Append(nil, &m)) || got.Called != m.Called || got.Ref != m.Ref {
+			t.Fatalf("%+v became %+v", m, got)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, s := range samples {
+		b, _ := hex.DecodeString(s.hex)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m, again Message
+		if err := Decode(b, &m); err != nil {
+			return
+		}
+		Unknown(&m, false)
+		once := Append(nil, &m)
+		if err := Decode(once, &again); err != nil {
+			t.Fatalf("what was written cannot be read: %v\n%x\n%x", err, b, once)
+		}
+		if twice := Append(nil, &again); !bytes.Equal(once, twice) {
+			t.Fatalf("written differently the second time:\n%x\n%x", once, twice)
+		}
+	})
+}
+
+// plain is the decoder that would be written first: parameters in a map, numbers as strings.
+func plain(b []byte) (map[byte][]byte, string) {
+	params := map[byte][]byte{}
+	v := b[9+int(b[8])-1:]
+	called := ""
+	for i, o := range v[3 : 1+int(v[0])] {
+		called += string(rune('0'+o&15)) + string(rune('0'+o>>4))
+		_ = i
+	}
+	for at := 9 + int(b[9]); b[at] != 0; at += 2 + int(b[at+1]) {
+		params[b[at]] = append([]byte(nil), b[at+2:at+2+int(b[at+1])]...)
+	}
+	return params, called
+}
+
+func BenchmarkDecodeIAM(b *testing.B) {
+	m := Message{CIC: 5, Type: IAM, Called: number(b, "82105550123456"), HasCalling: true, Calling: number(b, "82105550999999"),
+		HasRef: true, Ref: CallReference{7, 9}, HasHops: true, Hops: 10}
+	frame := Append(nil, &m)
+	b.Run("here", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := Decode(frame, &m); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("plain", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			plain(frame)
+		}
+	})
+}
+
+func BenchmarkAppendIAM(b *testing.B) {
+	m := Message{CIC: 5, Type: IAM, Called: number(b, "82105550123456"), HasCalling: true, Calling: number(b, "82105550999999")}
+	buf := make([]byte, 0, 128)
+	b.ReportAllocs()
+	for b.Loop() {
+		buf = Append(buf[:0], &m)
+	}
+}
--- /dev/null
+++ b/m3ua/m3ua.go
@@ -0,0 +1,329 @@
+// Package m3ua holds the messages of the MTP3 User Adaptation layer (RFC 4666), carried over TCP, and the state
+// machine of one association. It opens no connection and reads no clock.
+//
+// Over TCP the message length field of the common header frames the stream (RFC 4666, 3.1.4); there is one stream, so
+// the stream rules of 1.4.7 do not apply.
+package m3ua
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Version is the only protocol version (RFC 4666, 3.1.1).
+const Version = 1
+
+// HeaderLen is the length of the common header in octets (RFC 4666, 3.1).
+const HeaderLen = 8
+
+// MaxFrame bounds a frame in octets. An ISUP message has at most 272 octets (Q.703) and the longest message else is
+// one of SSNM; what claims to be longer is not read.
+const MaxFrame = 4096
+
+// Kind is a message class in its high and a message type in its low octet (RFC 4666, 3.1.2 and 3.1.3).
+type Kind uint16
+
+// The messages (RFC 4666, 3.1.2).
+const (
+	ERR      Kind = 0x0000
+	NTFY     Kind = 0x0001
+	DATA     Kind = 0x0101
+	DUNA     Kind = 0x0201
+	DAVA     Kind = 0x0202
+	DAUD     Kind = 0x0203
+	SCON     Kind = 0x0204
+	DUPU     Kind = 0x0205
+	DRST     Kind = 0x0206
+	ASPUP    Kind = 0x0301
+	ASPDN    Kind = 0x0302
+	BEAT     Kind = 0x0303
+	ASPUPAck Kind = 0x0304
+	ASPDNAck Kind = 0x0305
+	BEATAck  Kind = 0x0306
+	ASPAC    Kind = 0x0401
+	ASPIA    Kind = 0x0402
+	ASPACAck Kind = 0x0403
+	ASPIAAck Kind = 0x0404
+)
+
+var kindNames = map[Kind]string{
+	ERR: "ERR", NTFY: "NTFY", DATA: "DATA", DUNA: "DUNA", DAVA: "DAVA", DAUD: "DAUD", SCON: "SCON", DUPU: "DUPU",
+	DRST: "DRST", ASPUP: "ASPUP", ASPDN: "ASPDN", BEAT: "BEAT", ASPUPAck: "ASPUP ACK", ASPDNAck: "ASPDN ACK",
+	BEATAck: "BEAT ACK", ASPAC: "ASPAC", ASPIA: "ASPIA", ASPACAck: "ASPAC ACK", ASPIAAck: "ASPIA ACK",
+}
+
+func (k Kind) String() string {
+	if s, ok := kindNames[k]; ok {
+		return s
+	}
+	return fmt.Sprintf("class %d type %d", k>>8, k&0xff)
+}
+
+// Parameter tags (RFC 4666, 3.2).
+const (
+	tagInfo        = 0x0004
+	tagContext     = 0x0006
+	tagDiagnostic  = 0x0007
+	tagHeartbeat   = 0x0009
+	tagTrafficMode = 0x000b
+	tagError       = 0x000c
+	tagStatus      = 0x000d
+	tagASPID       = 0x0011
+	tagAffected    = 0x0012
+	tagCorrelation = 0x0013
+	tagAppearance  = 0x0200
+	tagUserCause   = 0x0204
+	tagCongestion  = 0x0205
+	tagConcerned   = 0x0206
+	tagData        = 0x0210
+)
+
+// Error codes of ERR (RFC 4666, 3.8.1).
+const (
+	ErrInvalidVersion        = 0x01
+	ErrUnsupportedClass      = 0x03
+	ErrUnsupportedType       = 0x04
+	ErrUnexpected            = 0x06
+	ErrProtocol              = 0x07
+	ErrRefused               = 0x0d
+	ErrInvalidParameter      = 0x11
+	ErrParameterField        = 0x12
+	ErrMissingParameter      = 0x16
+	ErrInvalidContext        = 0x19
+	StatusASState            = 1 // NTFY status types and information (RFC 4666, 3.8.2)
+	StatusOther              = 2
+	InfoASInactive           = 2
+	InfoASActive             = 3
+	InfoASPending            = 4
+	TrafficOverride          = 1 // traffic mode types (RFC 4666, 3.7.1)
+	TrafficLoadshare         = 2
+	TrafficBroadcast         = 3
+	ServiceISUP         byte = 5 // service indicator of ISUP (Q.704, 14.2.1)
+)
+
+// ProtocolData is the content of the Protocol Data parameter (RFC 4666, 3.3.1): a routing label and user data.
+type ProtocolData struct {
+	OPC, DPC uint32 // originating and destination point code
+	SI       byte   // service indicator
+	NI       byte   // network indicator
+	MP       byte   // message priority
+	SLS      byte   // signalling link selection
+	User     []byte // user data, for SI 5 an ISUP message from its CIC on
+}
+
+// Affected is one affected point code; the mask wildcards its low bits (RFC 4666, 3.4.1).
+type Affected struct {
+	Mask byte
+	PC   uint32
+}
+
+// Message is one message of any kind; only the fields of its kind count. After Decode all slices lie within the frame
+// and live as long as that.
+type Message struct {
+	Kind       Kind
+	HasContext bool
+	Context    uint32 // first routing context
+	Data       ProtocolData
+	Affected   []Affected
+	Congestion byte // level 0 to 3 of SCON (RFC 4666, 3.4.4)
+	HasASPID   bool
+	ASPID      uint32
+	Traffic    uint32 // traffic mode; 0: not given
+	ErrorCode  uint32
+	StatusType uint16
+	StatusInfo uint16
+	Heartbeat  []byte // opaque, returned in BEAT ACK (RFC 4666, 3.5.6)
+	Info       []byte
+}
+
+// Error tells why a frame is malformed, and with which code an ERR answers it.
+type Error struct {
+	Code   uint32 // error code of ERR
+	Offset int    // octet in the frame
+	What   string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("m3ua: octet %d: %s", e.Offset, e.What) }
+
+// ErrTooLong is returned by Length for a frame beyond MaxFrame, whose end cannot be found again.
+var ErrTooLong = errors.New("m3ua: message length beyond the bound")
+
+// Length reads the length of the whole frame from its first HeaderLen octets. An error means that the stream cannot be
+// framed any longer: the length lies below the header or beyond MaxFrame.
+func Length(header []byte) (int, error) {
+	n := binary.BigEndian.Uint32(header[4:8])
+	if n > MaxFrame {
+		return 0, ErrTooLong
+	}
+	if n < HeaderLen {
+		return 0, &Error{ErrProtocol, 4, fmt.Sprintf("message length %d below that of the header", n)}
+	}
+	return int(n), nil
+}
+
+// Decode reads one whole frame into m, whose slices are reused. Parameters that a kind does not have are skipped
+// (RFC 4666, 3.1: unexpected parameters are ignored). The error is an *Error.
+func Decode(frame []byte, m *Message) error {
+	affected := m.Affected[:0]
+	*m = Message{Affected: affected}
+	if len(frame) < HeaderLen {
+		return &Error{ErrProtocol, 0, "shorter than the common header"}
+	}
+	if frame[0] != Version {
+		return &Error{ErrInvalidVersion, 0, fmt.Sprintf("version %d", frame[0])}
+	}
+	if n, err := Length(frame); err != nil || n != len(frame) {
+		return &Error{ErrProtocol, 4, "the message length is not that of the frame"}
+	}
+	m.Kind = Kind(frame[2])<<8 | Kind(frame[3])
+	if _, known := kindNames[m.Kind]; !known {
+		code := uint32(ErrUnsupportedType)
+		if c := frame[2]; c > 4 {
+			code = ErrUnsupportedClass
+		}
+		return &Error{code, 2, m.Kind.String()}
+	}
+	seenData := false
+	for at := HeaderLen; at < len(frame); {
+		if len(frame)-at < 4 {
+			return &Error{ErrParameterField, at, "a parameter shorter than its header"}
+		}
+		tag := binary.BigEndian.Uint16(frame[at:])
+		n := int(binary.BigEndian.Uint16(frame[at+2:]))
+		if n < 4 || n > len(frame)-at {
+			return &Error{ErrParameterField, at + 2, fmt.Sprintf("parameter %#04x of length %d", tag, n)}
+		}
+		v := frame[at+4 : at+n : at+n]
+		if err := m.param(tag, v, at); err != nil {
+			return err
+		}
+		seenData = seenData || tag == tagData
+		at += (n + 3) &^ 3 // the padding of the last parameter may be missing
+	}
+	switch m.Kind {
+	case DATA:
+		if !seenData {
+			return &Error{ErrMissingParameter, HeaderLen, "DATA without Protocol Data"}
+		}
+	case DUNA, DAVA, DAUD, SCON, DRST:
+		if len(m.Affected) == 0 {
+			return &Error{ErrMissingParameter, HeaderLen, m.Kind.String() + " without an affected point code"}
+		}
+	}
+	return nil
+}
+
+func (m *Message) param(tag uint16, v []byte, at int) error {
+	word := func() (uint32, error) {
+		if len(v) < 4 {
+			return 0, &Error{ErrParameterField, at, fmt.Sprintf("parameter %#04x has %d octets", tag, len(v))}
+		}
+		return binary.BigEndian.Uint32(v), nil
+	}
+	var err error
+	switch tag {
+	case tagContext:
+		m.HasContext = true
+		m.Context, err = word()
+	case tagTrafficMode:
+		m.Traffic, err = word()
+	case tagASPID:
+		m.HasASPID = true
+		m.ASPID, err = word()
+	case tagError:
+		m.ErrorCode, err = word()
+	case tagCongestion:
+		var w uint32
+		w, err = word()
+		m.Congestion = byte(w & 3)
+	case tagStatus:
+		var w uint32
+		w, err = word()
+		m.StatusType, m.StatusInfo = uint16(w>>16), uint16(w)
+	case tagHeartbeat:
+		m.Heartbeat = v
+	case tagInfo:
+		m.Info = v
+	case tagAffected:
+		if len(v)%4 != 0 {
+			return &Error{ErrParameterField, at, "affected point codes of odd length"}
+		}
+		for ; len(v) > 0; v = v[4:] {
+			w := binary.BigEndian.Uint32(v)
+			m.Affected = append(m.Affected, Affected{byte(w >> 24), w & 0xffffff})
+		}
+	case tagData:
+		if len(v) < 12 {
+			return &Error{ErrParameterField, at, "Protocol Data shorter than its routing label"}
+		}
+		m.Data = ProtocolData{binary.BigEndian.Uint32(v), binary.BigEndian.Uint32(v[4:]), v[8], v[9], v[10], v[11], v[12:]}
+	}
+	return err
+}
+
+// Append writes m as one frame behind dst.
+func Append(dst []byte, m *Message) []byte {
+	start := len(dst)
+	dst = append(dst, Version, 0, byte(m.Kind>>8), byte(m.Kind), 0, 0, 0, 0)
+	if m.Kind == ERR {
+		dst = appendWord(dst, tagError, m.ErrorCode)
+	}
+	if m.Kind == NTFY {
+		dst = appendWord(dst, tagStatus, uint32(m.StatusType)<<16|uint32(m.StatusInfo))
+	}
+	if m.HasASPID {
+		dst = appendWord(dst, tagASPID, m.ASPID)
+	}
+	if m.Traffic != 0 {
+		dst = appendWord(dst, tagTrafficMode, m.Traffic)
+	}
+	if m.HasContext {
+		dst = appendWord(dst, tagContext, m.Context)
+	}
+	if len(m.Affected) > 0 {
+		dst = append(dst, tagAffected>>8, tagAffected&0xff, 0, 0)
+		binary.BigEndian.PutUint16(dst[len(dst)-2:], uint16(4+4*len(m.Affected)))
+		for _, a := range m.Affected {
+			dst = binary.BigEndian.AppendUint32(dst, uint32(a.Mask)<<24|a.PC&0xffffff)
+		}
+	}
+	if m.Kind == SCON {
+		dst = appendWord(dst, tagCongestion, uint32(m.Congestion))
+	}
+	if len(m.Heartbeat) > 0 {
+		dst = appendTLV(dst, tagHeartbeat, m.Heartbeat)
+	}
+	if len(m.Info) > 0 {
+		dst = appendTLV(dst, tagInfo, m.Info)
+	}
+	if m.Kind == DATA {
+		d := &m.Data
+		dst = append(dst, tagData>>8, tagData&0xff, 0, 0)
+		binary.BigEndian.PutUint16(dst[len(dst)-2:], uint16(16+len(d.User)))
+		dst = binary.BigEndian.AppendUint32(dst, d.OPC)
+		dst = binary.BigEndian.AppendUint32(dst, d.DPC)
+		dst = append(dst, d.SI, d.NI, d.MP, d.SLS)
+		dst = pad(append(dst, d.User...), len(d.User))
+	}
+	binary.BigEndian.PutUint32(dst[start+4:], uint32(len(dst)-start))
+	return dst
+}
+
+func appendWord(dst []byte, tag uint16, v uint32) []byte {
+	dst = append(dst, byte(tag>>8), byte(tag), 0, 8)
+	return binary.BigEndian.AppendUint32(dst, v)
+}
+
+func appendTLV(dst []byte, tag uint16, v []byte) []byte {
+	dst = append(dst, byte(tag>>8), byte(tag), byte((len(v)+4)>>8), byte(len(v)+4))
+	return pad(append(dst, v...), len(v))
+}
+
+// pad fills up to a multiple of four octets (RFC 4666, 3.2).
+func pad(dst []byte, n int) []byte {
+	for ; n%4 != 0; n++ {
+		dst = append(dst, 0)
+	}
+	return dst
+}
--- /dev/null
+++ b/m3ua/m3ua_test.go
@@ -0,0 +1,322 @@
+package m3ua
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+	"testing/iotest"
+	"time"
+)
+
+func unhex(t testing.TB, s string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// The layouts of RFC 4666, 3.3 to 3.8, written out octet by octet.
+var frames = []struct {
+	name string
+	hex  string
+	msg  Message
+}{
+	{"DATA", "01000101" + "00000028" + "00060008" + "00000007" + "02100015" + "00000102" + "00000203" + "05020009" + "0102030405" + "000000",
+		Message{Kind: DATA, HasContext: true, Context: 7, Data: ProtocolData{OPC: 0x102, DPC: 0x203, SI: 5, NI: 2, SLS: 9, User: []byte{1, 2, 3, 4, 5}}}},
+	{"DUNA", "01000201" + "00000014" + "0012000c" + "00000102" + "03000200",
+		Message{Kind: DUNA, Affected: []Affected{{0, 0x102}, {3, 0x200}}}},
+	{"SCON", "01000204" + "00000018" + "00120008" + "00000005" + "02050008" + "00000002",
+		Message{Kind: SCON, Affected: []Affected{{0, 5}}, Congestion: 2}},
+	{"ASPUP", "01000301" + "00000010" + "00110008" + "0000002a", Message{Kind: ASPUP, HasASPID: true, ASPID: 42}},
+	{"BEAT", "01000303" + "00000010" + "00090006" + "abcd0000", Message{Kind: BEAT, Heartbeat: []byte{0xab, 0xcd}}},
+	{"ASPAC", "01000401" + "00000018" + "000b0008" + "00000002" + "00060008" + "00000001",
+		Message{Kind: ASPAC, Traffic: TrafficLoadshare, HasContext: true, Context: 1}},
+	{"NTFY", "01000001" + "00000010" + "000d0008" + "00010003", Message{Kind: NTFY, StatusType: 1, StatusInfo: 3}},
+	{"ERR", "01000000" + "00000010" + "000c0008" + "00000006", Message{Kind: ERR, ErrorCode: ErrUnexpected}},
+}
+
+func TestLayouts(t *testing.T) {
+	for _, f := range frames {
+		b := unhex(t, f.hex)
+		if f.name == "DATA" { // its own length: 8 + 8 + 24
+			binary.BigEndian.PutUint32(b[4:], uint32(len(b)))
+		}
+		var m Message
+		if err := Decode(b, &m); err != nil {
+			t.Errorf("%s: %v", f.name, err)
+			continue
+		}
+		if got := Append(nil, &m); !bytes.Equal(got, b) {
+			t.Errorf("%s: encoded as %x, want %x", f.name, got, b)
+		}
+		if len(m.Affected) == 0 {
+			m.Affected = nil
+		}
+		if !reflect.DeepEqual(m, f.msg) {
+			t.Errorf("%s: decoded as %+v, want %+v", f.name, m, f.msg)
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for name, c := range map[string]struct {
+		hex  string
+		code uint32
+	}{
+		"version":            {"02000303" + "00000008", ErrInvalidVersion},
+		"class":              {"01000903" + "00000008", ErrUnsupportedClass},
+		"type":               {"01000309" + "00000008", ErrUnsupportedType},
+		"length lies":        {"01000303" + "0000000c", ErrProtocol},
+		"parameter too long": {"01000303" + "00000010" + "000900ff" + "00000000", ErrParameterField},
+		"parameter of 3":     {"01000303" + "00000010" + "00090003" + "00000000", ErrParameterField},
+		"no data":            {"01000101" + "00000008", ErrMissingParameter},
+		"short label":        {"01000101" + "00000010" + "02100008" + "00000000", ErrParameterField},
+		"DUNA of nothing":    {"01000201" + "00000008", ErrMissingParameter},
+	} {
+		var m Message
+		err := Decode(unhex(t, c.hex), &m)
+		var e *Error
+		if !errors.As(err, &e) || e.Code != c.code {
+			t.Errorf("%s: error %v, want code %#x", name, err, c.code)
+		}
+	}
+}
+
+// A frame split over reads of one octet, many frames in one read, and a length field that lies.
+func TestScanner(t *testing.T) {
+	var stream []byte
+	for _, f := range frames[1:] {
+		stream = append(stream, unhex(t, f.hex)...)
+	}
+	for name, r := range map[string]io.Reader{
+		"at once":  bytes.NewReader(stream),
+		"one byte": iotest.OneByteReader(bytes.NewReader(stream)),
+		"halves":   iotest.HalfReader(bytes.NewReader(stream)),
+	} {
+		s := NewScanner(r)
+		for i, f := range frames[1:] {
+			got, err := s.Next()
+			if err != nil || !bytes.Equal(got, unhex(t, f.hex)) {
+				t.Fatalf("%s: frame %d is %x, %v", name, i, got, err)
+			}
+		}
+		if _, err := s.Next(); err != io.EOF {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+	}
+	if _, err := NewScanner(bytes.NewReader(unhex(t, "0100030300ffffff"))).Next(); err != ErrTooLong {
+		t.Errorf("a length of 16 million gives %v", err)
+	}
+	if _, err := NewScanner(bytes.NewReader(unhex(t, "0100030300000002"))).Next(); err == nil {
+		t.Error("a length below the header passes")
+	}
+	if _, err := NewScanner(bytes.NewReader(stream[:len(stream)-3])).Next(); err != nil {
+		t.Error(err)
+	}
+	if _, err := NewScanner(bytes.NewReader(stream[:13])).Next(); err != io.ErrUnexpectedEOF {
+		t.Errorf("a cut frame gives %v", err)
+	}
+}
+
+// A long stream crosses the end of the scanner's buffer at every offset.
+func TestScannerWraps(t *testing.T) {
+	var stream []byte
+	for i := range 5000 {
+		stream = Append(stream, &Message{Kind: BEAT, Heartbeat: make([]byte, i%97+1)})
+	}
+	s := NewScanner(iotest.HalfReader(bytes.NewReader(stream)))
+	var m Message
+	for i := range 5000 {
+		f, err := s.Next()
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		if err := Decode(f, &m); err != nil || len(m.Heartbeat) != i%97+1 {
+			t.Fatal(i, err, len(m.Heartbeat))
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, x := range frames {
+		f.Add(unhex(f, x.hex))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m, again Message
+		if err := Decode(b, &m); err != nil {
+			return
+		}
+		once := Append(nil, &m)
+		if err := Decode(once, &again); err != nil {
+			t.Fatalf("what was written cannot be read: %v\n%x\n%x", err, b, once)
+		}
+		if twice := Append(nil, &again); !bytes.Equal(once, twice) {
+			t.Fatalf("written differently the second time:\n%x\n%x", once, twice)
+		}
+	})
+}
+
+func FuzzScanner(f *testing.F) {
+	f.Add([]byte{1, 0, 3, 3, 0, 0, 0, 8, 1, 0, 3, 3, 0, 0, 0, 8}, 3)
+	f.Fuzz(func(t *testing.T, b []byte, step int) {
+		one, many := NewScanner(bytes.NewReader(b)), NewScanner(iotest.OneByteReader(bytes.NewReader(b)))
+		for {
+			x, err := one.Next()
+			y, err2 := many.Next()
+			if !bytes.Equal(x, y) || err != err2 && (err == nil || err2 == nil) {
+				t.Fatalf("%x %v but %x %v", x, err, y, err2)
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+// pair joins an ASP and an SGP and carries their frames at once.
+type pair struct {
+	t        *testing.T
+	asp, sgp *ASP
+	now      time.Duration
+	got      []Outcome // of the ASP
+}
+
+func (p *pair) carry() {
+	p.t.Helper()
+	for len(p.asp.Out)+len(p.sgp.Out) > 0 {
+		for _, from := range []*ASP{p.asp, p.sgp} {
+			to := p.asp
+			if from == p.asp {
+				to = p.sgp
+			}
+			out := from.Out
+			from.Out = nil
+			s := NewScanner(bytes.NewReader(out))
+			for {
+				f, err := s.Next()
+				if err != nil {
+					break
+				}
+				var m Message
+				if err := Decode(f, &m); err != nil {
+					p.t.Fatal(err)
+				}
+				if o := to.Handle(p.now, &m); to == p.asp && o != Nothing {
+					p.got = append(p.got, o)
+				}
+			}
+		}
+	}
+}
+
+func TestAssociationComesUpAndDown(t *testing.T) {
+	p := &pair{t: t, asp: NewASP(Timers{}, 7, 1, 0), sgp: NewSGP(Timers{}, 0)}
+	p.carry()
+	if p.asp.State() != Active || p.sgp.State() != Active || p.sgp.ID() != 7 {
+		t.Fatalf("asp %v, sgp %v with id %d", p.asp.State(), p.sgp.State(), p.sgp.ID())
+	}
+	for range 100 { // heartbeats keep it up
+		p.now = min(p.asp.Next(), p.sgp.Next())
+		if p.asp.Tick(p.now) != Nothing || p.sgp.Tick(p.now) != Nothing {
+			t.Fatalf("broke at %v", p.now)
+		}
+		p.carry()
+	}
+	p.asp.Close()
+	p.carry()
+	if p.sgp.State() != Down {
+		t.Error("ASPDN leaves the other end up")
+	}
+}
+
+// A peer that accepts the connection and never answers ASPUP is given up.
+func TestSilentPeers(t *testing.T) {
+	for name, a := range map[string]*ASP{"asp": NewASP(Timers{Beat: time.Hour}, 1, 1, 0), "sgp": NewSGP(Timers{Beat: time.Hour}, 0)} {
+		var now time.Duration
+		for a.Tick(now) != Broken {
+			next := a.Next()
+			if next <= now {
+				t.Fatalf("%s: no progress at %v", name, now)
+			}
+			if now = next; now > 10*time.Second {
+				t.Fatalf("%s: still waits after %v", name, now)
+			}
+		}
+	}
+}
+
+// A peer that falls silent in mid-life is given up after the limit, and not before.
+func TestHeartbeatLimit(t *testing.T) {
+	p := &pair{t: t, asp: NewASP(Timers{Beat: time.Second}, 1, 1, 0), sgp: NewSGP(Timers{}, 0)}
+	p.carry()
+	for p.now = 0; p.now < 1900*time.Millisecond; p.now += 100 * time.Millisecond {
+		if p.asp.Tick(p.now) != Nothing {
+			t.Fatal("given up too soon")
+		}
+	}
+	p.now = 2 * time.Second
+	if p.asp.Tick(p.now) != Broken {
+		t.Error("a peer silent for twice the beat is kept")
+	}
+}
+
+// Before it is active nothing of traffic is delivered, and a second ASPUP of an active ASP stops traffic.
+func TestUnexpected(t *testing.T) {
+	g := NewSGP(Timers{}, 0)
+	if o := g.Handle(0, &Message{Kind: DATA}); o != Nothing || len(g.Out) == 0 {
+		t.Errorf("DATA of an ASP that is down: %v", o)
+	}
+	g.Handle(0, &Message{Kind: ASPUP})
+	if g.Handle(0, &Message{Kind: ASPAC}) != Activated {
+		t.Fatal("not activated")
+	}
+	if g.Handle(0, &Message{Kind: ASPUP}) != Deactived || g.State() != Inactive {
+		t.Error("an ASPUP in state active is overlooked")
+	}
+}
+
+// plainDecode is the decoder that would be written first: parameters in a map, each value copied.
+func plainDecode(frame []byte) (map[uint16][]byte, ProtocolData) {
+	params := map[uint16][]byte{}
+	for at := HeaderLen; at+4 <= len(frame); {
+		n := int(binary.BigEndian.Uint16(frame[at+2:]))
+		params[binary.BigEndian.Uint16(frame[at:])] = append([]byte(nil), frame[at+4:at+n]...)
+		at += (n + 3) &^ 3
+	}
+	v := params[tagData]
+	return params, ProtocolData{binary.BigEndian.Uint32(v), binary.BigEndian.Uint32(v[4:]), v[8], v[9], v[10], v[11], v[12:]}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	frame := Append(nil, &Message{Kind: DATA, HasContext: true, Context: 1, Data: ProtocolData{OPC: 1, DPC: 2, SI: 5, User: make([]byte, 50)}})
+	b.Run("here", func(b *testing.B) {
+		b.ReportAllocs()
+		var m Message
+		for b.Loop() {
+			if err := Decode(frame, &m); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("plain", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			plainDecode(frame)
+		}
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	m := Message{Kind: DATA, HasContext: true, Context: 1, Data: ProtocolData{OPC: 1, DPC: 2, SI: 5, User: make([]byte, 50)}}
+	buf := make([]byte, 0, 256)
+	b.ReportAllocs()
+	for b.Loop() {
+		buf = Append(buf[:0], &m)
+	}
+}
--- /dev/null
+++ b/timer/wheel.go
@@ -0,0 +1,191 @@
+// Package timer keeps many timers of a program that is driven by handed-in time: a hierarchical timing wheel (Varghese
+// and Lauck, 1987). Setting and stopping one costs the same however many there are; nothing is allocated once the slab
+// has grown to the most timers ever set at once.
+package timer
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	levels   = 4
+	slotBits = 8
+	slots    = 1 << slotBits
+	mask     = slots - 1
+)
+
+// Handle names a set timer. The zero Handle names none.
+type Handle struct {
+	index int32 // in the slab, from 1
+	gen   uint32
+}
+
+// Wheel holds timers with a payload each. A timer never fires early and at most one tick late, counted from the first
+// Advance at or after its time. It is not safe for concurrent use.
+type Wheel[T any] struct {
+	tick  time.Duration
+	cur   uint64 // ticks up to here have been handled
+	n     int
+	nodes []node[T] // 0 is not used
+	free  int32
+	heads [levels][slots]int32
+	tails [levels][slots]int32
+	used  [levels][slots / 64]uint64
+}
+
+type node[T any] struct {
+	due        uint64
+	next, prev int32
+	gen        uint32
+	level      int8 // -1: free
+	slot       uint8
+	payload    T
+}
+
+// New makes a wheel that starts at now and tells times apart by tick.
+func New[T any](now, tick time.Duration) *Wheel[T] {
+	return &Wheel[T]{tick: tick, cur: uint64(now / tick), nodes: make([]node[T], 1)}
+}
+
+// Len is the number of timers set.
+func (w *Wheel[T]) Len() int { return w.n }
+
+// Set makes a timer that fires at the given time, or with the next tick if that is past.
+func (w *Wheel[T]) Set(at time.Duration, payload T) Handle {
+	i := w.free
+	if i == 0 {
+		i = int32(len(w.nodes))
+		w.nodes = append(w.nodes, node[T]{})
+	} else {
+		w.free = w.nodes[i].next
+	}
+	n := &w.nodes[i]
+	n.gen++
+	n.payload = payload
+	n.due = max(uint64((at+w.tick-1)/w.tick), w.cur+1)
+	w.place(i)
+	w.n++
+	return Handle{i, n.gen}
+}
+
+// Stop takes a timer out; it tells whether it was still set.
+func (w *Wheel[T]) Stop(h Handle) bool {
+	if h.index == 0 || w.nodes[h.index].gen != h.gen || w.nodes[h.index].level < 0 {
+		return false
+	}
+	w.unlink(h.index)
+	w.release(h.index)
+	return true
+}
+
+func (w *Wheel[T]) release(i int32) {
+	n := &w.nodes[i]
+	var none T
+	n.payload, n.level, n.next = none, -1, w.free
+	w.free = i
+	w.n--
+}
+
+// place puts a node into the slot of its due tick, seen from cur.
+func (w *Wheel[T]) place(i int32) {
+	n := &w.nodes[i]
+	delta, level := n.due-w.cur, 0
+	for level < levels-1 && delta >= 1<<(slotBits*(level+1)) {
+		level++
+	}
+	if top := uint64(1)<<(slotBits*levels) - 1; delta > top { // beyond the horizon: looked at again there
+		delta = top
+	}
+	s := (w.cur + delta) >> (slotBits * level) & mask
+	n.level, n.slot, n.next, n.prev = int8(level), uint8(s), 0, w.tails[level][s]
+	if n.prev != 0 {
+		w.nodes[n.prev].next = i
+	} else {
+		w.heads[level][s] = i
+		w.used[level][s/64] |= 1 << (s % 64)
+	}
+	w.tails[level][s] = i
+}
+
+func (w *Wheel[T]) unlink(i int32) {
+	n := &w.nodes[i]
+	if n.prev != 0 {
+		w.nodes[n.prev].next = n.next
+	} else {
+		w.heads[n.level][n.slot] = n.next
+	}
+	if n.next != 0 {
+		w.nodes[n.next].prev = n.prev
+	} else {
+		w.tails[n.level][n.slot] = n.prev
+	}
+	if w.heads[n.level][n.slot] == 0 {
+		w.used[n.level][n.slot/64] &^= 1 << (n.slot % 64)
+	}
+}
+
+// ahead is the distance, 1 to slots, from slot s to the next used one of a level; 0: there is none.
+func (w *Wheel[T]) ahead(level int, s uint64) uint64 {
+	for d := uint64(1); d <= slots; {
+		at := (s + d) & mask
+		word := w.used[level][at/64] >> (at % 64)
+		if word != 0 {
+			return min(d+uint64(bits.TrailingZeros64(word)), slots)
+		}
+		d += 64 - at%64
+	}
+	return 0
+}
+
+// next is the first tick at which something is to be done: a timer to fire, or a slot to be dealt out to lower levels.
+func (w *Wheel[T]) next() (tick uint64, ok bool) {
+	for level := range levels {
+		at := w.cur >> (slotBits * level)
+		if d := w.ahead(level, at&mask); d > 0 {
+			if t := (at + d) << (slotBits * level); !ok || t < tick {
+				tick, ok = t, true
+			}
+		}
+	}
+	return tick, ok
+}
+
+// Next is a time before which nothing is to be done; ok is false if no timer is set.
+func (w *Wheel[T]) Next() (at time.Duration, ok bool) {
+	t, ok := w.next()
+	return time.Duration(t) * w.tick, ok
+}
+
+// Advance fires every timer due at now, in the order of their times. fire may set and stop timers.
+func (w *Wheel[T]) Advance(now time.Duration, fire func(T)) {
+	target := uint64(now / w.tick)
+	for w.cur < target {
+		t, ok := w.next()
+		if !ok || t > target {
+			w.cur = target
+			return
+		}
+		w.cur = t
+		for level := levels - 1; level > 0; level-- {
+			if t&(1<<(slotBits*level)-1) != 0 {
+				continue
+			}
+			s := t >> (slotBits * level) & mask
+			for i := w.heads[level][s]; i != 0; i = w.heads[level][s] {
+				w.unlink(i)
+				w.place(i)
+				if w.nodes[i].level == int8(level) && uint64(w.nodes[i].slot) == s { // a full turn ahead
+					break
+				}
+			}
+		}
+		for s := t & mask; w.heads[0][s] != 0; {
+			i := w.heads[0][s]
+			payload := w.nodes[i].payload
+			w.unlink(i)
+			w.release(i)
+			fire(payload)
+		}
+	}
+}
--- /dev/null
+++ b/timer/wheel_test.go
@@ -0,0 +1,154 @@
+package timer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// The wheel against a plain list: the same timers fire, none early, none later than a tick, in the order of time.
+func TestAgainstList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			at time.Duration
+			h  Handle
+		}
+		now := time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "start"))
+		w := New[int](now, ms)
+		set := map[int]entry{}
+		id := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				span := rapid.SampledFrom([]time.Duration{0, ms, 300 * ms, 70 * time.Second, 20 * time.Hour, 2000 * time.Hour}).Draw(t, "span")
+				at := now + time.Duration(rapid.Int64Range(0, int64(span)).Draw(t, "after"))
+				id++
+				set[id] = entry{at, w.Set(at, id)}
+			case 2:
+				for k, e := range set {
+					if !w.Stop(e.h) || w.Stop(e.h) {
+						t.Fatal("Stop is wrong about a set timer")
+					}
+					delete(set, k)
+					break
+				}
+			case 3:
+				step := rapid.SampledFrom([]time.Duration{0, ms / 3, ms, 255 * ms, 256 * ms, 66 * time.Second, 19 * time.Hour, 1500 * time.Hour}).Draw(t, "step")
+				if next, ok := w.Next(); ok != (len(set) > 0) {
+					t.Fatalf("Next says %v with %d set", ok, len(set))
+				} else if ok {
+					for _, e := range set {
+						if next > max(e.at, now)+2*ms {
+							t.Fatalf("Next %v after a timer at %v", next, e.at)
+						}
+					}
+				}
+				now += step
+				last := time.Duration(0)
+				w.Advance(now, func(k int) {
+					e, ok := set[k]
+					if !ok || e.at > now {
+						t.Fatalf("timer %d at %v fired at %v, known %v", k, e.at, now, ok)
+					}
+					if e.at < last-ms {
+						t.Fatalf("timer at %v after one at %v", e.at, last)
+					}
+					last = max(last, e.at)
+					delete(set, k)
+				})
+				for k, e := range set {
+					if e.at <= now-2*ms {
+						t.Fatalf("timer %d at %v has not fired at %v", k, e.at, now)
+					}
+				}
+			}
+			if w.Len() != len(set) {
+				t.Fatalf("%d timers, want %d", w.Len(), len(set))
+			}
+		}
+	})
+}
+
+func TestSetWhileFiring(t *testing.T) {
+	w := New[int](0, ms)
+	var fired []int
+	w.Set(ms, 1)
+	w.Set(5*ms, 2)
+	w.Advance(10*ms, func(k int) {
+		if fired = append(fired, k); k == 1 {
+			w.Set(0, 3) // past: with the next tick
+		}
+	})
+	if !slices.Equal(fired, []int{1, 3, 2}) {
+		t.Errorf("fired %v", fired)
+	}
+}
+
+// A handle of a timer that has fired names none, though its place is taken again.
+func TestOldHandle(t *testing.T) {
+	w := New[int](0, ms)
+	h := w.Set(ms, 1)
+	w.Advance(2*ms, func(int) {})
+	w.Set(time.Second, 2)
+	if w.Stop(h) || w.Stop(Handle{}) || w.Len() != 1 {
+		t.Error("an old handle has stopped another timer")
+	}
+}
+
+type item struct {
+	at time.Duration
+	id int
+	i  int
+}
+type queue []*item
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(a, b int) bool { return q[a].at < q[b].at }
+func (q queue) Swap(a, b int)      { q[a], q[b] = q[b], q[a]; q[a].i, q[b].i = a, b }
+func (q *queue) Push(x any)        { x.(*item).i = len(*q); *q = append(*q, x.(*item)) }
+func (q *queue) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+// Most timers of a call are stopped before they fire: one set and one stop among n, beside container/heap.
+func BenchmarkSetStop(b *testing.B) {
+	for _, n := range []int{1000, 100_000, 1_000_000} {
+		after := func(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(10 * time.Second))) }
+		b.Run(fmt.Sprintf("wheel/%d", n), func(b *testing.B) {
+			w, r := New[int](0, ms), rand.New(rand.NewPCG(1, 2))
+			hs := make([]Handle, n)
+			for i := range hs {
+				hs[i] = w.Set(after(r), i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				w.Stop(hs[i%n])
+				hs[i%n] = w.Set(after(r), i)
+			}
+		})
+		b.Run(fmt.Sprintf("heap/%d", n), func(b *testing.B) {
+			r := rand.New(rand.NewPCG(1, 2))
+			var q queue
+			is := make([]*item, n)
+			for i := range is {
+				is[i] = &item{at: after(r), id: i}
+				heap.Push(&q, is[i])
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				heap.Remove(&q, is[i%n].i)
+				is[i%n] = &item{at: after(r), id: i}
+				heap.Push(&q, is[i%n])
+			}
+		})
+	}
+}
