Trunk groups: seizure, dual seizure, release, blocking, reset and query without I/O

Both ends share a group's circuits, so each keeps its own view and brings it to agreement with the other's. A property test plays any interleaving of both ends and their switches, with lost releases and broken signalling: no two calls stand on one circuit and all circuits are idle in the end.

--- /dev/null
+++ b/trunk/trunk_test.go
@@ -0,0 +1,552 @@
+package trunk
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umbergauge/umbergauge/isup"
+	"pgregory.net/rapid"
+)
+
+func group(t testing.TB, self, far uint32, n int) *Group {
+	t.Helper()
+	g, err := New(Timers{}, self, far, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agree(g)
+	return g
+}
+
+// agree answers the queries of Sync: all idle.
+func agree(g *Group) {
+	g.Sync()
+	for _, a := range g.Acts {
+		if q, ok := a.(ToFar); ok && q.Msg.Type == isup.CQM {
+			idle := make([]byte, q.Msg.Range+1)
+			for i := range idle {
+				idle[i] = isup.CircuitIdle
+			}
+			g.FromFar(&isup.Message{Type: isup.CQR, CIC: q.Msg.CIC, Range: q.Msg.Range, Circuits: idle})
+		}
+	}
+	g.Acts = nil
+}
+
+func take(g *Group) []Act {
+	a := g.Acts
+	g.Acts = nil
+	return a
+}
+
+func find[T Act](acts []Act) (T, bool) {
+	for _, a := range acts {
+		if x, ok := a.(T); ok {
+			return x, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+// The two ends seize from opposite sides: they meet only on the last circuit.
+func TestEndsMeetLast(t *testing.T) {
+	a, b := group(t, 1, 2, 10), group(t, 2, 1, 10)
+	seen := map[uint16]bool{}
+	for range 5 {
+		x, _ := a.Seize(1)
+		y, _ := b.Seize(2)
+		if seen[x] || seen[y] || x == y {
+			t.Fatalf("the ends meet on %d and %d with circuits to spare", x, y)
+		}
+		seen[x], seen[y] = true, true
+		b.FarSeized(x, 9)
+		a.FarSeized(y, 9)
+	}
+	if _, ok := a.Seize(3); ok || a.Free() != 0 {
+		t.Error("a full group gives a circuit")
+	}
+}
+
+func TestDualSeizureOfTheLastCircuit(t *testing.T) {
+	a, b := group(t, 1, 2, 1), group(t, 2, 1, 1) // circuit 1 is odd: the lower point code controls it
+	x, _ := a.Seize(11)
+	y, _ := b.Seize(22)
+	if v := a.FarSeized(y, 0); v != Ours {
+		t.Errorf("the controlling end says %v", v)
+	}
+	if m, ok := find[ToOwn](take(a)); !ok || m.Msg.Type != isup.RSC {
+		t.Error("the own switch is not told to disregard the far end's call")
+	}
+	if v := b.FarSeized(x, 0); v != Taken {
+		t.Errorf("the other end says %v", v)
+	}
+	if l, ok := find[Lost](take(b)); !ok || l.Call != 22 || l.Why != Yielded || !l.Out {
+		t.Errorf("the yielding call is told %+v", l)
+	}
+	if s, c := a.Circuit(1); s != Outgoing || c != 11 {
+		t.Errorf("the controlling end has %v for call %d", s, c)
+	}
+	if a.DualSeizures != 1 || b.DualSeizures != 1 {
+		t.Error("dual seizures are not counted")
+	}
+}
+
+// REL without RLC is sent again, then the circuit is reset, and reset again until the far end answers.
+func TestReleaseWithoutComplete(t *testing.T) {
+	g := group(t, 1, 2, 2)
+	cic, _ := g.Seize(1)
+	g.Release(cic, isup.CauseNormal, 0)
+	rel, rsc := 0, 0
+	for range 30 {
+		acts := take(g)
+		for _, a := range acts {
+			if m, ok := a.(ToFar); ok && m.Msg.Type == isup.REL {
+				rel++
+			} else if ok && m.Msg.Type == isup.RSC {
+				rsc++
+			}
+		}
+		al, ok := find[Alarm](acts)
+		if !ok {
+			t.Fatal("no alarm is set: the circuit would stay taken for ever")
+		}
+		g.Alarm(al.Wake)
+	}
+	if rel != 20 || rsc < 5 { // T5 / T1 = 20 times, the first included
+		t.Errorf("%d RELs and %d RSCs", rel, rsc)
+	}
+	if g.Free() != 1 {
+		t.Errorf("%d circuits free while one is in doubt", g.Free())
+	}
+	g.FromFar(&isup.Message{Type: isup.RLC, CIC: cic})
+	if g.Free() != 2 {
+		t.Error("the answer to RSC does not free the circuit")
+	}
+}
+
+func TestOldAlarm(t *testing.T) {
+	g := group(t, 1, 2, 1)
+	cic, _ := g.Seize(1)
+	g.Release(cic, isup.CauseNormal, 0)
+	al, _ := find[Alarm](take(g))
+	g.FromFar(&isup.Message{Type: isup.RLC, CIC: cic})
+	g.Seize(2)
+	g.Alarm(al.Wake)
+	if len(g.Acts) != 0 {
+		t.Errorf("an alarm of the last call touches the next: %+v", g.Acts)
+	}
+}
+
+func TestBlocking(t *testing.T) {
+	g := group(t, 1, 2, 8)
+	cic, _ := g.Seize(7)
+	g.FromFar(&isup.Message{Type: isup.CGB, CIC: 1, Range: 7, Supervision: isup.Maintenance, Status: []byte{0xff}})
+	if _, ok := find[Lost](g.Acts); ok || g.Free() != 0 || g.Size() != 0 {
+		t.Errorf("maintenance blocking leaves %d free of %d, or ends a call", g.Free(), g.Size())
+	}
+	if m, ok := find[ToFar](take(g)); !ok || m.Msg.Type != isup.CGBA {
+		t.Error("no acknowledgement")
+	}
+	g.FromFar(&isup.Message{Type: isup.CGU, CIC: 1, Range: 7, Supervision: isup.Maintenance, Status: []byte{0xff}})
+	if g.Free() != 7 || g.Size() != 8 {
+		t.Errorf("%d free of %d after unblocking", g.Free(), g.Size())
+	}
+	take(g)
+	g.FromFar(&isup.Message{Type: isup.CGB, CIC: 1, Range: 7, Supervision: isup.Hardware, Status: []byte{0xff}})
+	if l, ok := find[Lost](take(g)); !ok || l.Call != 7 || l.CIC != cic || l.Why != Hardware {
+		t.Errorf("hardware failure: %+v", l)
+	}
+	g.Block(true) // blocked twice: each has to be lifted
+	g.FromFar(&isup.Message{Type: isup.CGU, CIC: 1, Range: 7, Supervision: isup.Hardware, Status: []byte{0xff}})
+	if g.Free() != 0 {
+		t.Error("the operators' block went with the far end's")
+	}
+	if g.Block(false); g.Free() != 8 {
+		t.Errorf("%d free in the end", g.Free())
+	}
+	g.FromFar(&isup.Message{Type: isup.BLO, CIC: 3})
+	g.FromFar(&isup.Message{Type: isup.BLO, CIC: 3})
+	if g.Free() != 7 {
+		t.Error("BLO twice counts twice")
+	}
+}
+
+// Signalling is lost with a call being set up and two standing; the far switch still knows one of them.
+func TestSignallingLost(t *testing.T) {
+	g := group(t, 1, 2, 40)
+	a, _ := g.Seize(1)
+	b, _ := g.Seize(2)
+	c, _ := g.Seize(3)
+	g.Answered(b)
+	g.Answered(c)
+	g.Down()
+	acts := take(g)
+	if l, ok := find[Lost](acts); !ok || l.Call != 1 {
+		t.Errorf("the call being set up: %+v", l)
+	}
+	if _, ok := g.Seize(9); ok {
+		t.Fatal("a group without signalling gives a circuit")
+	}
+	hold, _ := find[Alarm](acts)
+	g.Sync()
+	g.Alarm(hold.Wake) // signalling is back: of no effect
+	for _, act := range take(g) {
+		if q, ok := act.(ToFar); ok {
+			states := make([]byte, q.Msg.Range+1)
+			for i := range states {
+				states[i] = isup.CircuitIdle
+				if cic := q.Msg.CIC + uint16(i); cic == b || cic == a {
+					states[i] = isup.CircuitIncoming
+				}
+			}
+			g.FromFar(&isup.Message{Type: isup.CQR, CIC: q.Msg.CIC, Range: q.Msg.Range, Circuits: states})
+		}
+	}
+	acts = take(g)
+	if l, ok := find[Lost](acts); !ok || l.Call != 3 {
+		t.Errorf("the call that the far end forgot: %+v", l)
+	}
+	if m, ok := find[ToFar](acts); !ok || m.Msg.Type != isup.RSC || m.Msg.CIC != a {
+		t.Errorf("the circuit of the lost attempt is not reset: %+v", m)
+	}
+	if s, call := g.Circuit(b); s != Outgoing || call != 2 {
+		t.Errorf("the call that both know is %v %d", s, call)
+	}
+	if !g.InSync() {
+		t.Error("not in sync")
+	}
+}
+
+func TestStandingCallsOutliveSignallingOnlyForAWhile(t *testing.T) {
+	g := group(t, 1, 2, 2)
+	cic, _ := g.Seize(5)
+	g.Answered(cic)
+	g.Down()
+	hold, ok := find[Alarm](take(g))
+	if !ok || hold.After != 10*time.Second {
+		t.Fatalf("%+v", hold)
+	}
+	g.Alarm(hold.Wake)
+	if l, ok := find[Lost](take(g)); !ok || l.Call != 5 {
+		t.Errorf("%+v", l)
+	}
+}
+
+// world is both ends of a group with their switches, and messages in flight in four first-in first-out queues an end:
+// the property below plays any interleaving of them.
+type world struct {
+	t    *rapid.T
+	ends [2]*end
+	next uint64
+}
+
+type end struct {
+	g       *Group
+	far     *end
+	toFar   []isup.Message // controller to far switch
+	fromFar []isup.Message // far switch to controller
+	fromOwn []isup.Message // own switch to controller
+	toOwn   []isup.Message
+	alarms  []Wake
+	calls   map[uint64]uint16 // alive here, by circuit
+	ans     map[uint64]bool   // ... that stand
+	sw      map[uint16]uint64 // in the switch: the far controller's call by circuit
+	swAns   map[uint16]bool   // ... which it has answered
+	lost    int
+	drop    func(m *isup.Message) bool // a fault: the message is lost
+}
+
+func newWorld(t *rapid.T, n int) *world {
+	w := &world{t: t}
+	for i := range 2 {
+		g, _ := New(Timers{T1: time.Second, T5: 5 * time.Second}, uint32(1+i), uint32(2-i), n)
+		w.ends[i] = &end{g: g, calls: map[uint64]uint16{}, ans: map[uint64]bool{}, sw: map[uint16]uint64{}, swAns: map[uint16]bool{}}
+	}
+	w.ends[0].far, w.ends[1].far = w.ends[1], w.ends[0]
+	for _, e := range w.ends {
+		e.g.Sync()
+		e.acts()
+	}
+	w.settle(false)
+	return w
+}
+
+func (e *end) acts() {
+	for _, a := range take(e.g) {
+		switch a := a.(type) {
+		case ToFar:
+			e.toFar = append(e.toFar, a.Msg)
+		case ToOwn:
+			e.toOwn = append(e.toOwn, a.Msg)
+		case Alarm:
+			e.alarms = append(e.alarms, a.Wake)
+		case Lost:
+			if a.Out {
+				delete(e.calls, a.Call)
+				delete(e.ans, a.Call)
+				e.lost++
+			}
+		}
+	}
+}
+
+func pop(q *[]isup.Message) (isup.Message, bool) {
+	if len(*q) == 0 {
+		return isup.Message{}, false
+	}
+	m := (*q)[0]
+	*q = (*q)[1:]
+	return m, true
+}
+
+// deliver carries the first message of queue k of end e; false: it is empty.
+func (e *end) deliver(k int) bool {
+	switch k {
+	case 0:
+		m, ok := pop(&e.toFar)
+		if ok && !(e.drop != nil && e.drop(&m)) {
+			e.far.switchTakes(m)
+		}
+		return ok
+	case 1:
+		m, ok := pop(&e.fromFar)
+		if ok {
+			e.controllerTakes(m)
+		}
+		return ok
+	case 2:
+		m, ok := pop(&e.fromOwn)
+		if ok {
+			if m.Type == isup.IAM {
+				e.g.FarSeized(m.CIC, 0)
+			} else {
+				e.g.FromOwn(&m)
+			}
+			e.acts()
+		}
+		return ok
+	default:
+		m, ok := pop(&e.toOwn)
+		if !ok {
+			return false
+		}
+		switch m.Type {
+		case isup.RSC:
+			delete(e.sw, m.CIC)
+			delete(e.swAns, m.CIC)
+			e.fromOwn = append(e.fromOwn, isup.Message{Type: isup.RLC, CIC: m.CIC})
+		case isup.CQM:
+			e.fromOwn = append(e.fromOwn, e.cqr(m))
+		}
+		return true
+	}
+}
+
+func (e *end) cqr(m isup.Message) isup.Message {
+	states := make([]byte, m.Range+1)
+	for i := range states {
+		states[i] = isup.CircuitIdle
+		if _, busy := e.sw[m.CIC+uint16(i)]; busy {
+			states[i] = isup.CircuitIncoming
+		}
+	}
+	return isup.Message{Type: isup.CQR, CIC: m.CIC, Range: m.Range, Circuits: states}
+}
+
+// switchTakes plays the switch of e for a message of the far controller.
+func (e *end) switchTakes(m isup.Message) {
+	back := func(t isup.Type) { e.far.fromFar = append(e.far.fromFar, isup.Message{Type: t, CIC: m.CIC}) }
+	switch m.Type {
+	case isup.IAM:
+		if _, busy := e.sw[m.CIC]; !busy {
+			e.sw[m.CIC] = uint64(m.Ref.ID)
+			e.fromOwn = append(e.fromOwn, m)
+		}
+	case isup.REL, isup.RSC:
+		if _, busy := e.sw[m.CIC]; busy || m.Type == isup.RSC {
+			delete(e.sw, m.CIC)
+			delete(e.swAns, m.CIC)
+			e.fromOwn = append(e.fromOwn, m)
+		}
+		back(isup.RLC)
+	case isup.CQM:
+		e.far.fromFar = append(e.far.fromFar, e.cqr(m))
+	}
+}
+
+// controllerTakes plays what the owner of a group does with a message of the far switch.
+func (e *end) controllerTakes(m isup.Message) {
+	state, call := e.g.Circuit(m.CIC)
+	switch m.Type {
+	case isup.ANM:
+		if state == Outgoing && call != 0 {
+			e.g.Answered(m.CIC)
+			e.ans[call] = true
+		}
+	case isup.REL:
+		e.g.FromFar(&m)
+		if state == Outgoing && call != 0 {
+			delete(e.calls, call)
+			delete(e.ans, call)
+		}
+	default:
+		e.g.FromFar(&m)
+	}
+	e.acts()
+}
+
+func (w *world) seize(e *end) {
+	w.next++
+	cic, ok := e.g.Seize(w.next)
+	if !ok {
+		return
+	}
+	e.calls[w.next] = cic
+	e.toFar = append(e.toFar, isup.Message{Type: isup.IAM, CIC: cic, HasRef: true, Ref: isup.CallReference{ID: uint32(w.next)}})
+}
+
+// settle delivers until nothing is in flight; with alarms it lets time pass as well, until all circuits have come to rest.
+func (w *world) settle(alarms bool) {
+	for range 10000 {
+		moved := false
+		for _, e := range w.ends {
+			for k := range 4 {
+				for e.deliver(k) {
+					moved = true
+				}
+			}
+		}
+		if moved {
+			continue
+		}
+		if !alarms {
+			return
+		}
+		for _, e := range w.ends {
+			due := e.alarms
+			e.alarms = nil
+			for _, a := range due {
+				e.g.Alarm(a)
+				e.acts()
+			}
+			moved = moved || len(due) > 0
+		}
+		if !moved {
+			return
+		}
+	}
+	w.t.Fatal("never comes to rest")
+}
+
+// No circuit ever carries two calls that stand, whatever the interleaving, and every circuit is idle at both ends once
+// all calls are over: also when releases get lost and signalling breaks in between.
+func TestCircuitsOfBothEndsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "circuits")
+		w := newWorld(t, n)
+		faults := rapid.Bool().Draw(t, "faults")
+		for range rapid.IntRange(0, 120).Draw(t, "steps") {
+			e := w.ends[rapid.IntRange(0, 1).Draw(t, "end")]
+			switch op := rapid.IntRange(0, 12).Draw(t, "op"); {
+			case op < 2:
+				w.seize(e)
+			case op < 8:
+				e.deliver(op % 4)
+			case op == 8: // the switch answers a call
+				for cic := uint16(1); cic <= uint16(n); cic++ {
+					if _, busy := e.sw[cic]; busy && !e.swAns[cic] {
+						e.swAns[cic] = true
+						e.far.fromFar = append(e.far.fromFar, isup.Message{Type: isup.ANM, CIC: cic})
+						break
+					}
+				}
+			case op == 9: // the called side hangs up
+				for cic := uint16(1); cic <= uint16(n); cic++ {
+					if _, busy := e.sw[cic]; busy && e.swAns[cic] {
+						delete(e.sw, cic)
+						delete(e.swAns, cic)
+						e.far.fromFar = append(e.far.fromFar, isup.Message{Type: isup.REL, CIC: cic, Cause: isup.CauseNormal})
+						e.fromOwn = append(e.fromOwn, isup.Message{Type: isup.RLC, CIC: cic})
+						break
+					}
+				}
+			case op == 10: // the caller leaves
+				for cic := uint16(1); cic <= uint16(n); cic++ {
+					if s, call := e.g.Circuit(cic); s == Outgoing && call != 0 {
+						e.g.Release(cic, isup.CauseNormal, 0)
+						e.acts()
+						delete(e.calls, call)
+						delete(e.ans, call)
+						break
+					}
+				}
+			case op == 11 && faults: // a release or its answer is lost
+				if len(e.toFar) > 0 && e.toFar[0].Type == isup.REL {
+					e.toFar = e.toFar[1:]
+				} else if len(e.fromFar) > 0 && e.fromFar[0].Type == isup.RLC {
+					e.fromFar = e.fromFar[1:]
+				}
+			case op == 12 && faults: // signalling breaks and comes again
+				e.toFar, e.fromFar = nil, nil
+				e.g.Down()
+				e.acts()
+				e.g.Sync()
+				e.g.SyncOwn()
+				e.acts()
+			}
+			on := map[uint16]int{}
+			for _, e := range w.ends {
+				for call := range e.ans {
+					cic := e.calls[call]
+					if _, c := e.g.Circuit(cic); c == call {
+						on[cic]++
+					}
+				}
+			}
+			for cic, k := range on {
+				// Both ends may for a moment take a circuit for theirs while the reset of the one is in flight; what may not
+				// be is that the switches connect both.
+				if k > 1 && w.ends[0].swAns[cic] && w.ends[1].swAns[cic] &&
+					len(w.ends[0].toFar)+len(w.ends[1].toFar)+len(w.ends[0].fromOwn)+len(w.ends[1].fromOwn)+len(w.ends[0].toOwn)+len(w.ends[1].toOwn)+len(w.ends[0].fromFar)+len(w.ends[1].fromFar) == 0 {
+					t.Fatalf("two calls stand on circuit %d", cic)
+				}
+			}
+		}
+		w.settle(false)
+		for _, e := range w.ends { // all callers leave
+			for cic := uint16(1); cic <= uint16(n); cic++ {
+				if s, call := e.g.Circuit(cic); s == Outgoing && call != 0 {
+					e.g.Release(cic, isup.CauseNormal, 0)
+					e.acts()
+				}
+			}
+		}
+		w.settle(true)
+		for range 2 { // an audit, as after an association has come again, finds what is still left
+			for _, e := range w.ends {
+				e.g.Sync()
+				e.g.SyncOwn()
+				e.acts()
+			}
+			w.settle(true)
+		}
+		for i, e := range w.ends {
+			if e.g.Free() != n || len(e.sw) != 0 {
+				t.Fatalf("end %d: %d of %d circuits free, switch has %v", i, e.g.Free(), n, e.sw)
+			}
+		}
+	})
+}
+
+func BenchmarkSeizeRelease(b *testing.B) {
+	for _, n := range []int{30, 4000} {
+		g := group(b, 1, 2, n)
+		b.ReportAllocs()
+		for b.Loop() {
+			cic, _ := g.Seize(1)
+			g.FromFar(&isup.Message{Type: isup.REL, CIC: cic})
+			g.Acts = g.Acts[:0]
+		}
+	}
+}
