Daemon: sockets, connectors, control port, metrics and settings around the core

One decision goroutine; each association has a reader and a writer with bounded queues and the state machine of the codec between them.

--- /dev/null
+++ b/daemon/connect.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/umbergauge/umbergauge/controller"
+	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/m3ua"
+)
+
+// peers knows the clients of the settings and which exchanges have a connector.
+type peers struct {
+	mu        sync.Mutex
+	cfg       *config.Config
+	connected map[uint32]bool
+}
+
+// admit names a client by its ASP identifier; with clients in the settings, others are turned away.
+func (p *peers) admit(l *link, asp uint32) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.peer.Name = fmt.Sprint(asp)
+	i := slices.IndexFunc(p.cfg.Clients, func(c config.Client) bool { return c.ASP == asp })
+	if i < 0 {
+		return len(p.cfg.Clients) == 0
+	}
+	l.peer.Name, l.peer.Tenant = p.cfg.Clients[i].Name, p.cfg.Tenant(p.cfg.Clients[i].Tenant)
+	return true
+}
+
+// connectAll starts a connector for each exchange that has none.
+func (d *Daemon) connectAll(ctx context.Context) {
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	d.peers.cfg = d.cfg
+	if d.peers.connected == nil {
+		d.peers.connected = map[uint32]bool{}
+	}
+	for _, x := range d.cfg.Exchanges {
+		if d.peers.connected[x.PointCode] {
+			continue
+		}
+		d.peers.connected[x.PointCode] = true
+		d.own(func() { d.connect(ctx, x) })
+	}
+}
+
+// connect keeps an association to a switch, trying its addresses in turn.
+func (d *Daemon) connect(ctx context.Context, x config.Exchange) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = d.cfg.Association.BackoffMin, d.cfg.Association.BackoffMax
+	for i := 0; ctx.Err() == nil; {
+		addr := x.Switch[i%len(x.Switch)]
+		dctx, cancel := context.WithTimeout(ctx, d.cfg.Association.DialLimit)
+		conn, err := d.dial(dctx, addr)
+		cancel()
+		if err != nil {
+			i++
+			select {
+			case d.events <- event{kind: evUnreachable, pc: x.PointCode}:
+			case <-ctx.Done():
+				return
+			}
+		} else {
+			p := controller.Peer{Kind: controller.FarSwitch, PC: x.PointCode, Address: addr, Name: x.Name}
+			if x.PointCode == d.cfg.Exchange {
+				p.Kind = controller.OwnSwitch
+			}
+			since := time.Now()
+			l := d.newLink(conn, p, m3ua.NewASP(d.cfg.M3UA(), d.cfg.Exchange, d.cfg.Exchange, d.now()))
+			l.run(ctx)
+			if time.Since(since) > d.cfg.Association.BackoffMax { // it was well for a while: begin with short waits again
+				wait.Reset()
+			}
+		}
+		select {
+		case <-time.After(wait.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// accept takes clients.
+func (d *Daemon) accept(ctx context.Context) {
+	defer context.AfterFunc(ctx, func() { d.listener.Close() })()
+	for {
+		conn, err := d.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			// Out of file descriptors, for one: the listener is kept, and tried again after a pause.
+			d.log.Error().Err(err).Msg("accept")
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		if int(d.clients.Add(1)) > d.cfg.Limits.Clients {
+			d.clients.Add(-1)
+			d.metrics.turnedAway.Inc()
+			conn.Close()
+			continue
+		}
+		l := d.newLink(conn, controller.Peer{Kind: controller.Client, Name: conn.RemoteAddr().String()}, m3ua.NewSGP(d.cfg.M3UA(), d.now()))
+		d.own(func() {
+			defer d.clients.Add(-1)
+			l.run(ctx)
+		})
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,422 @@
+// Package daemon runs a call controller on sockets. One goroutine owns the controller; every association has a reader
+// and a writer, which hand it events through one bounded queue and take its frames from bounded ones. All that is
+// decided is decided in package controller and below.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/umbergauge/umbergauge/controller"
+	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/m3ua"
+)
+
+// Options are the settings and what the daemon reaches the world by.
+type Options struct {
+	Config *config.Config
+	Log    zerolog.Logger
+	// Dial and Listen default to TCP; tests hand in pipes.
+	Dial   func(ctx context.Context, addr string) (net.Conn, error)
+	Listen func(addr string) (net.Listener, error)
+}
+
+// Daemon is one call controller on sockets.
+type Daemon struct {
+	cfg     *config.Config
+	log     zerolog.Logger
+	odd     *oddLog
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	start   time.Time
+	core    *controller.Core
+	events  chan event
+	links   map[controller.Assoc]*link // of the decision goroutine
+	touched []*link
+	nextID  atomic.Uint32
+	clients atomic.Int32 // connections of clients
+	wg      sync.WaitGroup
+	metrics *metrics
+
+	listener, control net.Listener
+	metricsAt         net.Listener
+	listen            func(addr string) (net.Listener, error)
+
+	drain     chan struct{}
+	drainOnce sync.Once
+	peers     peers
+	msg       m3ua.Message
+}
+
+type eventKind uint8
+
+const (
+	evFrames eventKind = iota
+	evUp
+	evDown
+	evUnreachable
+	evCall
+)
+
+type event struct {
+	kind  eventKind
+	link  *link
+	batch *[]byte
+	pc    uint32
+	call  func()
+}
+
+// base is added to the time since the start: the module takes 0 for long ago.
+const base = time.Hour
+
+func (d *Daemon) now() time.Duration { return base + time.Since(d.start) }
+
+// New makes a daemon and opens its listeners, so that their addresses are known before Run.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{cfg: o.Config, log: o.Log, dial: o.Dial, listen: o.Listen, start: time.Now(),
+		events: make(chan event, o.Config.Limits.Events), links: map[controller.Assoc]*link{}, drain: make(chan struct{})}
+	if d.dial == nil {
+		var nd net.Dialer
+		d.dial = func(ctx context.Context, addr string) (net.Conn, error) { return nd.DialContext(ctx, "tcp", addr) }
+	}
+	if d.listen == nil {
+		d.listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	d.odd = &oddLog{log: o.Log, cfg: o.Config, limit: rate.NewLimiter(20, 50)}
+	d.metrics = newMetrics(d)
+	var err error
+	if d.core, err = controller.New(o.Config.Controller(), port{d}, d.now()); err != nil {
+		return nil, err
+	}
+	for _, l := range []struct {
+		what, addr string
+		to         *net.Listener
+	}{{"listen", o.Config.Listen, &d.listener}, {"control", o.Config.Control, &d.control}, {"metrics", o.Config.Metrics, &d.metricsAt}} {
+		if l.addr == "" {
+			continue
+		}
+		if *l.to, err = d.listen(l.addr); err != nil {
+			d.closeListeners()
+			return nil, fmt.Errorf("%s: %w", l.what, err)
+		}
+	}
+	return d, nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listener, d.control, d.metricsAt} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// Addr is where clients connect.
+func (d *Daemon) Addr() string { return d.listener.Addr().String() }
+
+// ControlAddr is the address of the control port, or empty.
+func (d *Daemon) ControlAddr() string {
+	if d.control == nil {
+		return ""
+	}
+	return d.control.Addr().String()
+}
+
+// MetricsAddr is where metrics are served, or empty.
+func (d *Daemon) MetricsAddr() string {
+	if d.metricsAt == nil {
+		return ""
+	}
+	return d.metricsAt.Addr().String()
+}
+
+// Drain begins an orderly end: no new calls, open ones get their answers, standing ones may end until the limit of the
+// settings. Run returns when it is done.
+func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drain) }) }
+
+// Run works until ctx ends, which cuts everything off, or a drain is done. It returns when all its goroutines have.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer d.wg.Wait()
+	defer cancel()
+	defer d.closeListeners()
+	d.log.Info().Uint32("exchange", d.cfg.Exchange).Str("listen", d.Addr()).Msg("started")
+	d.connectAll(ctx)
+	d.own(func() { d.accept(ctx) })
+	if d.control != nil {
+		d.own(func() { d.serveControl(ctx) })
+	}
+	if d.metricsAt != nil {
+		d.own(func() { d.serveMetrics(ctx) })
+	}
+	err := d.loop(ctx)
+	for _, l := range d.links {
+		l.close("the daemon ends")
+	}
+	d.log.Info().Msg("ended")
+	return err
+}
+
+// own starts a goroutine that Run waits for. A panic in it ends what it serves and not the daemon.
+func (d *Daemon) own(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		defer d.caught("goroutine")
+		f()
+	}()
+}
+
+func (d *Daemon) caught(where string) bool {
+	r := recover()
+	if r == nil {
+		return false
+	}
+	d.metrics.panics.Inc()
+	d.log.Error().Str("where", where).Interface("panic", r).Bytes("stack", debug.Stack()).Msg("panic caught")
+	return true
+}
+
+// maxBatch bounds the events handled before timers run and writers are woken.
+const maxBatch = 256
+
+// loop is the decision goroutine.
+func (d *Daemon) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	draining, drain := false, d.drain
+	var drainUntil time.Duration
+	for {
+		if next, ok := d.core.Next(); ok {
+			timer.Reset(max(0, next-d.now()))
+		} else {
+			timer.Reset(time.Second)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-drain:
+			drain, draining = nil, true
+			drainUntil = d.now() + d.cfg.DrainLimit
+			d.core.Drain()
+			d.log.Info().Int("open", d.core.Open()).Msg("draining")
+		case ev := <-d.events:
+			d.handle(ctx, ev)
+			for n := 1; n < maxBatch; n++ {
+				select {
+				case ev := <-d.events:
+					d.handle(ctx, ev)
+					continue
+				default:
+				}
+				break
+			}
+		case <-timer.C:
+		}
+		d.guarded("timers", nil, func() {
+			d.core.Tick(d.now())
+			d.core.Flush(d.now())
+		})
+		if draining {
+			open := d.core.Open()
+			if d.core.Waiting() == 0 && d.now() >= drainUntil && open > 0 {
+				d.core.HangUp(d.now())
+				open = 0
+			}
+			if open == 0 {
+				d.wakeWriters()
+				d.farewell(ctx)
+				return nil
+			}
+		}
+		d.wakeWriters()
+	}
+}
+
+// farewell lets the writers send what is queued, and says ASPDN.
+func (d *Daemon) farewell(ctx context.Context) {
+	for _, l := range d.links {
+		l.finish()
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Association.WriteLimit)
+	defer cancel()
+	for _, l := range d.links {
+		select {
+		case <-l.flushed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) wakeWriters() {
+	for _, l := range d.touched {
+		l.touched = false
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+	d.touched = d.touched[:0]
+}
+
+// guarded runs f of the decision goroutine; a panic costs the link it came by, if any, and not the daemon.
+func (d *Daemon) guarded(where string, l *link, f func()) {
+	defer func() {
+		if d.caught(where) && l != nil {
+			l.close("panic")
+		}
+	}()
+	f()
+}
+
+func (d *Daemon) handle(ctx context.Context, ev event) {
+	l := ev.link
+	switch ev.kind {
+	case evUp:
+		d.links[l.id] = l
+		d.log.Info().Stringer("peer", l).Msg("association active")
+		d.guarded("up", l, func() { d.core.Up(d.now(), l.id, l.peer) })
+	case evDown:
+		if d.links[l.id] == l {
+			delete(d.links, l.id)
+			d.log.Warn().Stringer("peer", l).Str("why", l.reason()).Msg("association down")
+			d.guarded("down", nil, func() { d.core.Down(d.now(), l.id) })
+		}
+	case evUnreachable:
+		d.core.Unreachable(d.now(), ev.pc)
+	case evCall:
+		d.guarded("call", nil, ev.call)
+	case evFrames:
+		d.guarded("frames", l, func() { d.frames(l, *ev.batch) })
+		batches.Put(ev.batch)
+	}
+}
+
+// frames hands the messages of a batch to the controller.
+func (d *Daemon) frames(l *link, b []byte) {
+	now := d.now()
+	for len(b) >= m3ua.HeaderLen {
+		n, err := m3ua.Length(b)
+		if err != nil || n > len(b) { // the reader cuts batches between frames
+			panic("a batch that is no sequence of frames")
+		}
+		if err := m3ua.Decode(b[:n], &d.msg); err != nil {
+			l.malformed(err)
+		} else {
+			d.core.Handle(now, l.id, &d.msg)
+		}
+		b = b[n:]
+	}
+}
+
+// do runs f in the decision goroutine and waits for it; every wait has an end.
+func (d *Daemon) do(ctx context.Context, f func()) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	select {
+	case d.events <- event{kind: evCall, call: func() { defer close(done); f() }}:
+	case <-ctx.Done():
+		return errors.New("the controller is too busy")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.New("the controller is too busy")
+	}
+}
+
+// Stall stops the decision goroutine for a while, as a stopped process would: for days that play it.
+func (d *Daemon) Stall(ctx context.Context, span time.Duration) {
+	select {
+	case d.events <- event{kind: evCall, call: func() { time.Sleep(span) }}:
+	case <-ctx.Done():
+	}
+}
+
+// Reload takes changed settings: names, prefixes, further exchanges and the log's level. The error names what cannot be
+// changed; then all stays as it was.
+func (d *Daemon) Reload(ctx context.Context, cfg *config.Config) error {
+	var err error
+	if e := d.do(ctx, func() {
+		if cfg.Exchange != d.cfg.Exchange {
+			err = errors.New("the own point code changes only with a new start")
+			return
+		}
+		if err = d.core.Reload(d.now(), cfg.ExchangeList()); err == nil {
+			d.cfg.Exchanges = cfg.Exchanges
+			d.connectAll(ctx)
+		}
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// port is the controller's way to the links.
+type port struct{ d *Daemon }
+
+func (p port) Send(a controller.Assoc, frame []byte) bool {
+	l := p.d.links[a]
+	if l == nil || !l.send(frame) {
+		return false
+	}
+	if !l.touched {
+		l.touched = true
+		p.d.touched = append(p.d.touched, l)
+	}
+	return true
+}
+
+func (p port) Close(a controller.Assoc, why string) {
+	if l := p.d.links[a]; l != nil {
+		l.close(why)
+	}
+}
+
+func (p port) Ended(e controller.Ending) {
+	p.d.metrics.ended(e)
+	p.d.odd.ended(e)
+}
+
+// oddLog writes a line for each call that ends oddly, but no more than a reader can take in a storm.
+type oddLog struct {
+	log        zerolog.Logger
+	cfg        *config.Config
+	limit      *rate.Limiter
+	suppressed int
+}
+
+func (o *oddLog) ended(e controller.Ending) {
+	switch e.Outcome {
+	case controller.Failed, controller.Cut, controller.Refused:
+	default:
+		return
+	}
+	if !o.limit.Allow() {
+		o.suppressed++
+		return
+	}
+	class := ""
+	if e.Class < len(o.cfg.Classes) {
+		class = o.cfg.Classes[e.Class].Name
+	}
+	line := o.log.Info().Stringer("outcome", e.Outcome).Uint64("call", e.Call).Str("class", class).Bool("transit", e.Transit).
+		Stringer("called", e.Called).Uint32("to", e.To).Uint32("via", e.Via).Int("attempts", e.Attempts).
+		Uint8("cause", uint8(e.Cause)).Dur("after", e.After)
+	if o.suppressed > 0 {
+		line = line.Int("suppressed", o.suppressed)
+		o.suppressed = 0
+	}
+	line.Msg("call")
+}
--- /dev/null
+++ b/daemon/link.go
@@ -0,0 +1,280 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/umbergauge/umbergauge/controller"
+	"github.com/umbergauge/umbergauge/m3ua"
+)
+
+// link is one association on one connection: a reader, a writer, and the state machine between them.
+type link struct {
+	d       *Daemon
+	id      controller.Assoc
+	peer    controller.Peer
+	conn    net.Conn
+	wake    chan struct{}
+	flushed chan struct{} // closed when the writer has ended
+	touched bool          // of the decision goroutine
+
+	mu     sync.Mutex
+	asp    *m3ua.ASP
+	out    []byte // frames queued, at most cfg.Association.Queue octets
+	ending bool   // nothing more is queued; the writer ends when out is empty
+	closed bool
+	why    string
+	bad    int // malformed frames
+}
+
+// batches are buffers of whole frames on their way to the decision goroutine.
+var batches = sync.Pool{New: func() any { b := make([]byte, 0, 16*1024); return &b }}
+
+func (d *Daemon) newLink(conn net.Conn, p controller.Peer, asp *m3ua.ASP) *link {
+	return &link{d: d, id: controller.Assoc(d.nextID.Add(1)), peer: p, conn: conn, asp: asp,
+		wake: make(chan struct{}, 1), flushed: make(chan struct{})}
+}
+
+func (l *link) String() string {
+	switch l.peer.Kind {
+	case controller.FarSwitch:
+		return fmt.Sprintf("switch %d at %s", l.peer.PC, l.peer.Address)
+	case controller.OwnSwitch:
+		return fmt.Sprintf("own switch at %s", l.peer.Address)
+	}
+	return fmt.Sprintf("client %s", l.peer.Name)
+}
+
+// send queues a frame; false: the queue is full or the link is ending.
+func (l *link) send(frame []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.ending || len(l.out)+len(frame) > l.d.cfg.Association.Queue {
+		return false
+	}
+	l.out = append(l.out, frame...)
+	return true
+}
+
+// close ends the link at once; the first reason stays.
+func (l *link) close(why string) {
+	l.mu.Lock()
+	if !l.closed {
+		l.closed, l.why = true, why
+	}
+	l.mu.Unlock()
+	l.conn.Close()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// finish lets the writer send what is queued and ASPDN, and end.
+func (l *link) finish() {
+	l.mu.Lock()
+	l.asp.Close()
+	l.ending = true
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) reason() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.why
+}
+
+// maxBad is how many malformed frames a peer may send on one connection.
+const maxBad = 100
+
+// malformed answers a frame that cannot be read with ERR, and ends a link that sends nothing else.
+func (l *link) malformed(err error) {
+	l.d.metrics.malformed.Inc()
+	code := uint32(m3ua.ErrProtocol)
+	var e *m3ua.Error
+	if errors.As(err, &e) {
+		code = e.Code
+	}
+	l.mu.Lock()
+	l.bad++
+	bad := l.bad
+	if bad <= maxBad {
+		l.asp.Out = m3ua.Append(l.asp.Out, &m3ua.Message{Kind: m3ua.ERR, ErrorCode: code})
+	}
+	l.mu.Unlock()
+	if bad > maxBad {
+		l.close("too many malformed frames")
+		return
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run serves the link until it ends; it is called in the goroutine that owns the connection.
+func (l *link) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { l.close("the daemon ends") })
+	defer stop()
+	l.d.own(l.write)
+	func() {
+		defer func() {
+			if l.d.caught("reader") {
+				l.close("panic")
+			}
+		}()
+		l.read(ctx)
+	}()
+	l.conn.Close()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	<-l.flushed
+	// The loss must not get lost: the queue is waited for as long as there is one who takes from it.
+	select {
+	case l.d.events <- event{kind: evDown, link: l}:
+	case <-ctx.Done():
+	}
+}
+
+// read takes frames from the connection and hands them on in batches, as many as have come together.
+func (l *link) read(ctx context.Context) {
+	sc := m3ua.NewScanner(l.conn)
+	var m m3ua.Message
+	batch := batches.Get().(*[]byte)
+	defer func() { batches.Put(batch) }()
+	pass := func(ev event) bool {
+		select {
+		case l.d.events <- ev: // full: this peer's frames wait, and then its socket
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for {
+		frame, err := sc.Next()
+		if err != nil {
+			l.close(err.Error())
+			return
+		}
+		user := m3ua.Kind(frame[2])<<8|m3ua.Kind(frame[3]) == m3ua.DATA
+		now := l.d.now()
+		l.mu.Lock()
+		l.asp.Heard(now)
+		active := l.asp.State() == m3ua.Active
+		l.mu.Unlock()
+		if user && active {
+			*batch = append(*batch, frame...)
+		} else if err := m3ua.Decode(frame, &m); err != nil {
+			l.malformed(err)
+		} else {
+			l.mu.Lock()
+			outcome := l.asp.Handle(now, &m)
+			asked := len(l.asp.Out) > 0
+			id := l.asp.ID()
+			l.mu.Unlock()
+			if asked {
+				select {
+				case l.wake <- struct{}{}:
+				default:
+				}
+			}
+			switch outcome {
+			case m3ua.Deliver:
+				*batch = append(*batch, frame...)
+			case m3ua.Activated:
+				if l.peer.Kind == controller.Client && !l.d.peers.admit(l, id) {
+					l.close("an ASP identifier that is not in the settings")
+					return
+				}
+				if !pass(event{kind: evUp, link: l}) {
+					return
+				}
+			case m3ua.Deactived, m3ua.Broken:
+				// Traffic ends; a peer that wants it again connects anew, so that nothing old is mixed in.
+				l.close("the peer has taken the association down")
+				return
+			}
+		}
+		if len(*batch) > 0 && (!sc.Buffered() || len(*batch) > 12*1024) {
+			full := batch
+			batch = batches.Get().(*[]byte)
+			*batch = (*batch)[:0]
+			if !pass(event{kind: evFrames, link: l, batch: full}) {
+				return
+			}
+		}
+	}
+}
+
+// write sends what is queued, all that has gathered at once, and keeps the association alive.
+func (l *link) write() {
+	defer close(l.flushed)
+	defer func() {
+		if l.d.caught("writer") {
+			l.close("panic")
+		}
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var buf []byte
+	for {
+		now := l.d.now()
+		l.mu.Lock()
+		if l.closed {
+			l.mu.Unlock()
+			return
+		}
+		broken := false
+		if !l.ending && now >= l.asp.Next() {
+			broken = l.asp.Tick(now) == m3ua.Broken
+		}
+		buf = append(buf[:0], l.asp.Out...)
+		l.asp.Out = l.asp.Out[:0]
+		if l.ending { // what is queued goes before the goodbye
+			buf = append(append([]byte(nil), l.out...), buf...)
+			l.out = l.out[:0]
+		} else {
+			buf, l.out = append(buf, l.out...), l.out[:0]
+		}
+		next, ending := l.asp.Next(), l.ending
+		l.mu.Unlock()
+		if len(buf) > 0 {
+			l.conn.SetWriteDeadline(time.Now().Add(l.d.cfg.Association.WriteLimit))
+			if _, err := l.conn.Write(buf); err != nil {
+				l.close("write: " + err.Error())
+				return
+			}
+			if cap(buf) > 1<<18 { // a storm's buffer is not kept
+				buf = nil
+			}
+			l.mu.Lock()
+			more := len(l.out) > 0 || len(l.asp.Out) > 0
+			l.mu.Unlock()
+			if more {
+				continue
+			}
+		}
+		if broken {
+			l.close("the peer is silent")
+			return
+		}
+		if ending {
+			return
+		}
+		timer.Reset(max(0, next-l.d.now()))
+		select {
+		case <-l.wake:
+		case <-timer.C:
+		}
+	}
+}
--- a/m3ua/asp.go
+++ b/m3ua/asp.go
@@ -235,3 +235,6 @@
 	}
 	a.drop(Nothing)
 }
+
+// Heard notes that a message came that the owner deals with itself.
+func (a *ASP) Heard(now time.Duration) { a.heard = now }
--- /dev/null
+++ b/record/record.go
@@ -0,0 +1,129 @@
+// Package record keeps what stand-ins see on their sockets: every frame with its time, link and direction, and marks of
+// what was done to them. The checker of the rules reads it; the controllers have no part in it.
+package record
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind tells what a link joins.
+type Kind uint8
+
+// The kinds of links. All have a controller at one end.
+const (
+	ClientLink Kind = iota // a client
+	FarLink                // the switch of another exchange
+	OwnLink                // the own switch
+)
+
+// Link is one connection.
+type Link struct {
+	Kind       Kind
+	Controller uint32        // point code of the controller's exchange
+	Switch     uint32        // of the switch
+	Opened     time.Duration // when traffic could flow
+	Closed     time.Duration // 0: open to the end
+}
+
+// Frame is one M3UA frame. At is the time at which the stand-in read it from its socket, or was about to write it there.
+type Frame struct {
+	At   time.Duration
+	Link int32
+	In   bool // read by the stand-in: sent by the controller
+	Data []byte
+}
+
+// MarkKind is what was done.
+type MarkKind uint8
+
+// The marks.
+const (
+	Started MarkKind = iota // a switch's processor started; Value: set-ups a second that it can take when warm
+	Stopped                 // ... stopped
+	Held                    // a controller was stopped for Span
+	Trouble                 // a trouble of the day, for Span; Name
+)
+
+// Mark is one thing done.
+type Mark struct {
+	At    time.Duration
+	Kind  MarkKind
+	PC    uint32
+	Cold  bool
+	Value float64
+	Span  time.Duration
+	Name  string
+}
+
+// Log is the record of a day. It is safe for concurrent use.
+type Log struct {
+	mu     sync.Mutex
+	start  time.Time
+	links  []Link
+	frames []Frame
+	marks  []Mark
+	arena  []byte
+}
+
+// New makes a Log whose times count from now.
+func New() *Log { return &Log{start: time.Now()} }
+
+// Now is the time of the log's clock.
+func (l *Log) Now() time.Duration { return time.Since(l.start) }
+
+// Open notes a new link and returns its number.
+func (l *Log) Open(k Kind, controller, sw uint32) int32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.links = append(l.links, Link{Kind: k, Controller: controller, Switch: sw, Opened: l.Now()})
+	return int32(len(l.links) - 1)
+}
+
+// Close notes the end of a link.
+func (l *Log) Close(link int32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := &l.links[link]; x.Closed == 0 {
+		x.Closed = l.Now()
+	}
+}
+
+// Frame notes a frame, which is copied.
+func (l *Log) Frame(link int32, in bool, data []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cap(l.arena)-len(l.arena) < len(data) {
+		l.arena = make([]byte, 0, max(1<<20, len(data)))
+	}
+	at := len(l.arena)
+	l.arena = append(l.arena, data...)
+	l.frames = append(l.frames, Frame{l.Now(), link, in, l.arena[at:len(l.arena):len(l.arena)]})
+}
+
+// Mark notes something done now.
+func (l *Log) Mark(m Mark) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m.At = l.Now()
+	l.marks = append(l.marks, m)
+}
+
+// Day is a finished record: all by time.
+type Day struct {
+	Links  []Link
+	Frames []Frame
+	Marks  []Mark
+	End    time.Duration
+}
+
+// Day ends the record.
+func (l *Log) Day() Day {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := Day{slices.Clone(l.links), slices.Clone(l.frames), slices.Clone(l.marks), l.Now()}
+	slices.SortStableFunc(d.Frames, func(a, b Frame) int { return int(a.At - b.At) })
+	slices.SortStableFunc(d.Marks, func(a, b Mark) int { return int(a.At - b.At) })
+	return d
+}
