--- a/controller/controller.go
+++ b/controller/controller.go
@@ -34,6 +34,15 @@
 	MaxCalls     int           // open calls; more are refused with cause 42
 	Trunk        trunk.Timers
 	ClientT1     time.Duration // REL to a client without RLC is sent again, five times
+
+	// Module makes the module; nil: brain.New. Another is for comparisons only, on days that are played.
+	Module func(brain.Config) (Module, error)
+}
+
+// Module decides. In the program it is *brain.Controller.
+type Module interface {
+	Handle(now time.Duration, ev brain.Event, out []brain.Action) []brain.Action
+	View(out []brain.View) []brain.View
 }
 
 // Exchange is one exchange as settings know it.
@@ -217,7 +226,7 @@
 
 	cfg       Config
 	port      Port
-	module    *brain.Controller
+	module    Module
 	now       time.Duration
 	wheel     *timer.Wheel[alarm]
 	calls     map[uint64]*call
@@ -246,7 +255,13 @@
 // New makes a controller. now is the present time, which must be above zero.
 func New(cfg Config, port Port, now time.Duration) (*Core, error) {
 	cfg.Brain.Self = int(cfg.PointCode)
-	module, err := brain.New(cfg.Brain)
+	var module Module
+	var err error
+	if cfg.Module != nil {
+		module, err = cfg.Module(cfg.Brain)
+	} else {
+		module, err = brain.New(cfg.Brain)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -535,6 +550,9 @@
 
 // acts carries out what a trunk group wants done.
 func (c *Core) acts(f *far) {
+	if f.group == nil {
+		return
+	}
 	for len(f.group.Acts) > 0 {
 		acts := f.group.Acts
 		f.group.Acts = nil
--- a/controller/view.go
+++ b/controller/view.go
@@ -33,6 +33,16 @@
 	return out
 }
 
+// Ready tells whether the own switch is reached and every group is in agreement with its far end.
+func (c *Core) Ready() bool {
+	for _, f := range c.fars {
+		if f.group != nil && !f.group.InSync() {
+			return false
+		}
+	}
+	return c.own != nil
+}
+
 // Views are the module's views of the exchanges, the own one first.
 func (c *Core) Views() []brain.View { return c.module.View(nil) }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/umbergauge/umbergauge/brain"
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/internal/config"
 	"github.com/umbergauge/umbergauge/m3ua"
@@ -28,6 +29,7 @@
 	// Dial and Listen default to TCP; tests hand in pipes.
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Listen func(addr string) (net.Listener, error)
+	Module func(brain.Config) (controller.Module, error) // for comparisons only; nil: brain.New
 }
 
 // Daemon is one call controller on sockets.
@@ -93,7 +95,9 @@
 	d.odd = &oddLog{log: o.Log, cfg: o.Config, limit: rate.NewLimiter(20, 50)}
 	d.metrics = newMetrics(d)
 	var err error
-	if d.core, err = controller.New(o.Config.Controller(), port{d}, d.now()); err != nil {
+	core := o.Config.Controller()
+	core.Module = o.Module
+	if d.core, err = controller.New(core, port{d}, d.now()); err != nil {
 		return nil, err
 	}
 	for _, l := range []struct {
@@ -170,13 +174,13 @@
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
-		defer d.caught("goroutine")
+		defer func() { d.caught("goroutine", recover()) }()
 		f()
 	}()
 }
 
-func (d *Daemon) caught(where string) bool {
-	r := recover()
+// caught notes a recovered panic; false: there was none.
+func (d *Daemon) caught(where string, r any) bool {
 	if r == nil {
 		return false
 	}
@@ -271,7 +275,7 @@
 // guarded runs f of the decision goroutine; a panic costs the link it came by, if any, and not the daemon.
 func (d *Daemon) guarded(where string, l *link, f func()) {
 	defer func() {
-		if d.caught(where) && l != nil {
+		if d.caught(where, recover()) && l != nil {
 			l.close("panic")
 		}
 	}()
@@ -336,6 +340,21 @@
 	}
 }
 
+// Ready tells whether the own switch is reached and every trunk group is in agreement with its far end.
+func (d *Daemon) Ready(ctx context.Context) bool {
+	ready := false
+	if d.do(ctx, func() { ready = d.core.Ready() }) != nil {
+		return false
+	}
+	return ready
+}
+
+// Counters are the controller's totals.
+func (d *Daemon) Counters(ctx context.Context) (c controller.Counters) {
+	d.do(ctx, func() { c = d.core.Counters })
+	return c
+}
+
 // Stall stops the decision goroutine for a while, as a stopped process would: for days that play it.
 func (d *Daemon) Stall(ctx context.Context, span time.Duration) {
 	select {
--- a/daemon/link.go
+++ b/daemon/link.go
@@ -127,7 +127,7 @@
 	l.d.own(l.write)
 	func() {
 		defer func() {
-			if l.d.caught("reader") {
+			if l.d.caught("reader", recover()) {
 				l.close("panic")
 			}
 		}()
@@ -220,7 +220,7 @@
 func (l *link) write() {
 	defer close(l.flushed)
 	defer func() {
-		if l.d.caught("writer") {
+		if l.d.caught("writer", recover()) {
 			l.close("panic")
 		}
 	}()
--- /dev/null
+++ b/day/day.go
@@ -0,0 +1,471 @@
+// Package day plays scripted days through real call controllers, stand-in switches and clients, and has them judged by
+// the traffic on their sockets.
+package day
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/isup"
+)
+
+// Day is a script: who is there, who calls whom, and what goes wrong. docs/operations/days.md explains each key.
+type Day struct {
+	Name     string        `yaml:"name"`
+	Seed     uint64        `yaml:"seed"`
+	Length   time.Duration `yaml:"length"`
+	Fleet    Fleet         `yaml:"fleet"`
+	Traffic  Traffic       `yaml:"traffic"`
+	Rules    Rules         `yaml:"rules"`
+	Troubles []Trouble     `yaml:"troubles,omitempty"`
+}
+
+// Fleet is the exchanges and what lies between them.
+type Fleet struct {
+	Exchanges int           `yaml:"exchanges"`
+	Regions   []string      `yaml:"regions"`
+	Same      time.Duration `yaml:"same_region"`  // one way
+	Cross     time.Duration `yaml:"cross_region"` // one way
+	Spare     float64       `yaml:"spare"`        // circuits beyond the plan, in square roots of it
+	Missed    float64       `yaml:"missed"`       // how far the plan missed the traffic, as a coefficient of variation
+	Unlinked  float64       `yaml:"unlinked"`     // share of pairs without a group
+	Switch    Switch        `yaml:"switch"`
+}
+
+// Switch is each exchange's processor.
+type Switch struct {
+	Use          float64       `yaml:"use"` // busy share at the planned load, all calls direct
+	FollowWork   float64       `yaml:"follow_work"`
+	RejectWork   float64       `yaml:"reject_work"`
+	FullAfter    time.Duration `yaml:"full_after"`
+	AnswersFirst bool          `yaml:"answers_first"`
+	Repeat       time.Duration `yaml:"repeat"`
+	RepeatWork   float64       `yaml:"repeat_work"`
+	DropGivenUp  bool          `yaml:"drop_given_up"`
+	Ring         time.Duration `yaml:"ring"`
+	HangUp       float64       `yaml:"hang_up"`
+}
+
+// Traffic is what callers want.
+type Traffic struct {
+	Planned     float64       `yaml:"planned"` // calls a second that groups and processors were planned for
+	Load        float64       `yaml:"load"`    // offered, as a share of that
+	Swing       float64       `yaml:"swing"`   // a wave of this height
+	Drift       time.Duration `yaml:"drift"`   // where calls go shifts so often; 0: never
+	Redials     int           `yaml:"redials"`
+	RedialAfter time.Duration `yaml:"redial_after"`
+	Classes     []Class       `yaml:"classes"`
+	Tenants     []Tenant      `yaml:"tenants,omitempty"`
+}
+
+// Class is one class of calls.
+type Class struct {
+	Name      string        `yaml:"name"`
+	Share     float64       `yaml:"share"`
+	Category  int           `yaml:"category"`
+	Aim       time.Duration `yaml:"aim"`
+	Patience  time.Duration `yaml:"patience"` // of one try
+	GiveUp    time.Duration `yaml:"give_up"`  // of the caller
+	Worth     float64       `yaml:"worth"`
+	LateWorth float64       `yaml:"late_worth"`
+	Hold      time.Duration `yaml:"hold"`
+}
+
+// Tenant is one of the customers; each has a client at every controller.
+type Tenant struct {
+	Name  string  `yaml:"name"`
+	Share float64 `yaml:"share"`
+}
+
+// Rules are the figures of the five rules.
+type Rules struct {
+	Guard      time.Duration `yaml:"guard"`
+	DrainGrace time.Duration `yaml:"drain_grace"`
+	Cold       Cold          `yaml:"cold"`
+}
+
+// Cold is when a fresh switch is pushed over.
+type Cold struct {
+	Share    float64       `yaml:"share"`
+	WarmUp   time.Duration `yaml:"warm_up"`
+	Multiple float64       `yaml:"multiple"`
+	Span     time.Duration `yaml:"span"`
+}
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds.
+const (
+	LoadJump        Kind = "load_jump"         // size: times the load
+	Crash           Kind = "crash"             // comes back cold after its time
+	Replace         Kind = "replace"           // drains, stops, and another machine takes its place, cold
+	Hang            Kind = "hang"              // takes set-ups, answers none
+	Slow            Kind = "slow"              // size: times slower
+	Ageing          Kind = "ageing"            // slower and slower up to size times, then dies and comes back cold
+	CircuitsLost    Kind = "circuits_lost"     // size: share of circuits lost between a region and the others
+	RegionCut       Kind = "region_cut"        // a region is cut off from the others
+	CallsCut        Kind = "calls_cut"         // size: share of standing calls cut at once
+	ControllerStall Kind = "controller_stall"  // controllers stand still, as stopped processes
+	MassCalling     Kind = "mass_calling"      // size: share of all calls to one number with few lines
+	Impatient       Kind = "impatient"         // callers of one tenant give up after size of their time and redial at once
+	ListLate        Kind = "list_late"         // size: seconds that the list is late
+	ListFlap        Kind = "list_flap"         // the list says that healthy exchanges are gone, and back
+	AssocReset      Kind = "association_reset" // connections of switches break
+	RegionRestart   Kind = "region_restart"    // all switches of a region restart cold
+)
+
+// Kinds are all kinds of trouble.
+var Kinds = []Kind{LoadJump, Crash, Replace, Hang, Slow, Ageing, CircuitsLost, RegionCut, CallsCut, ControllerStall, MassCalling,
+	Impatient, ListLate, ListFlap, AssocReset, RegionRestart}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Kind   Kind          `yaml:"kind"`
+	At     time.Duration `yaml:"at"`
+	For    time.Duration `yaml:"for"`
+	Part   float64       `yaml:"part,omitempty"` // share of the exchanges that it strikes
+	Region string        `yaml:"region,omitempty"`
+	Size   float64       `yaml:"size,omitempty"`
+}
+
+// Default has the values of keys that a script may leave out.
+func Default() Day {
+	return Day{
+		Seed: 1, Length: 30 * time.Second,
+		Fleet: Fleet{Exchanges: 6, Regions: []string{"seoul", "daejeon", "busan"}, Same: 3 * time.Millisecond, Cross: 12 * time.Millisecond,
+			Spare: 1.5, Missed: 0.35, Unlinked: 0.15,
+			Switch: Switch{Use: 0.75, FollowWork: 0.3, RejectWork: 0.15, FullAfter: 2500 * time.Millisecond, Repeat: 400 * time.Millisecond,
+				RepeatWork: 0.3, DropGivenUp: true, HangUp: 0.3}},
+		Traffic: Traffic{Planned: 60, Load: 0.85, Swing: 0.1, Drift: 12 * time.Second, Redials: 2, RedialAfter: 900 * time.Millisecond,
+			Classes: []Class{
+				{"map-tile", 0.94, 10, 1500 * time.Millisecond, 3 * time.Second, 9 * time.Second, 1, 0.25, 5 * time.Second},
+				{"storm-tile", 0.06, 11, 1200 * time.Millisecond, 2 * time.Second, 6 * time.Second, 5, 0.25, 3 * time.Second},
+				{"mass", 0, 12, 1500 * time.Millisecond, 3 * time.Second, 9 * time.Second, 0.1, 0.25, 3 * time.Second},
+			}},
+		Rules: Rules{Guard: 200 * time.Millisecond, DrainGrace: time.Second, Cold: Cold{0.37, 15 * time.Second, 2, 3 * time.Second}},
+	}
+}
+
+// Load reads and checks a script. The error is config.Faults, or that of reading the file.
+func Load(path string) (*Day, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, b)
+}
+
+// Parse reads and checks a script; name stands in its errors.
+func Parse(name string, b []byte) (*Day, error) {
+	d := Default()
+	if err := config.Decode(name, b, &d); err != nil {
+		return nil, err
+	}
+	v := config.NewChecker(name, b)
+	d.check(v)
+	return &d, v.Err()
+}
+
+func (d *Day) check(v *config.Checker) {
+	span := func(key string, x, from, to time.Duration) {
+		v.Must(x >= from && x <= to, key, "%v; %v to %v can be", x, from, to)
+	}
+	share := func(key string, x float64) { v.Must(x >= 0 && x <= 1, key, "%v; 0 to 1 can be", x) }
+	above := func(key string, x, low, high float64) {
+		v.Must(x >= low && x <= high, key, "%v; %v to %v can be", x, low, high)
+	}
+	span("length", d.Length, time.Second, time.Hour)
+	f := d.Fleet
+	v.Must(f.Exchanges >= 2 && f.Exchanges <= 99, "fleet.exchanges", "%d; 2 to 99 can be", f.Exchanges)
+	v.Must(len(f.Regions) >= 1 && len(f.Regions) <= f.Exchanges, "fleet.regions", "%d regions for %d exchanges", len(f.Regions), f.Exchanges)
+	span("fleet.same_region", f.Same, 0, time.Second)
+	span("fleet.cross_region", f.Cross, 0, time.Second)
+	above("fleet.spare", f.Spare, 0, 100)
+	above("fleet.missed", f.Missed, 0, 2)
+	above("fleet.unlinked", f.Unlinked, 0, 0.6)
+	above("fleet.switch.use", f.Switch.Use, 0.01, 1)
+	above("fleet.switch.follow_work", f.Switch.FollowWork, 0, 10)
+	above("fleet.switch.reject_work", f.Switch.RejectWork, 0, 10)
+	above("fleet.switch.repeat_work", f.Switch.RepeatWork, 0, 10)
+	share("fleet.switch.hang_up", f.Switch.HangUp)
+	t := d.Traffic
+	above("traffic.planned", t.Planned, 0.1, 100000)
+	above("traffic.load", t.Load, 0, 10)
+	share("traffic.swing", t.Swing)
+	v.Must(t.Redials >= 0 && t.Redials <= 20, "traffic.redials", "%d; 0 to 20 can be", t.Redials)
+	v.Must(len(t.Classes) > 0, "traffic.classes", "there is none")
+	sum, cats := 0.0, map[int]bool{}
+	for i, c := range t.Classes {
+		key := func(k string) string { return fmt.Sprintf("traffic.classes[%d].%s", i, k) }
+		share(key("share"), c.Share)
+		sum += c.Share
+		v.Must(!cats[c.Category] && c.Category >= 0 && c.Category < 256, key("category"), "%d is given twice or is no category", c.Category)
+		cats[c.Category] = true
+		span(key("aim"), c.Aim, time.Millisecond, time.Minute)
+		span(key("patience"), c.Patience, 200*time.Millisecond, time.Minute)
+		span(key("give_up"), c.GiveUp, c.Patience, 10*time.Minute)
+		span(key("hold"), c.Hold, time.Millisecond, time.Hour)
+		above(key("worth"), c.Worth, 0.001, 1000)
+		share(key("late_worth"), c.LateWorth)
+	}
+	v.Must(sum > 0, "traffic.classes", "the shares add up to nothing")
+	span("rules.guard", d.Rules.Guard, 0, time.Minute)
+	span("rules.drain_grace", d.Rules.DrainGrace, 0, time.Minute)
+	above("rules.cold.share", d.Rules.Cold.Share, 0.01, 1)
+	above("rules.cold.multiple", d.Rules.Cold.Multiple, 1, 100)
+	for i, x := range d.Troubles {
+		key := func(k string) string { return fmt.Sprintf("troubles[%d].%s", i, k) }
+		v.Must(slices.Contains(Kinds, x.Kind), key("kind"), "%q; it can be one of %v", x.Kind, Kinds)
+		span(key("at"), x.At, 0, d.Length)
+		span(key("for"), x.For, 0, time.Hour)
+		share(key("part"), x.Part)
+		v.Must(x.Region == "" || slices.Contains(f.Regions, x.Region), key("region"), "there is no region %q", x.Region)
+		switch x.Kind {
+		case LoadJump, Slow, Ageing:
+			above(key("size"), x.Size, 1, 100)
+		case CircuitsLost, CallsCut, MassCalling, Impatient:
+			above(key("size"), x.Size, 0.01, 1)
+		case ListLate:
+			above(key("size"), x.Size, 0, 60)
+		}
+	}
+}
+
+// exchange is one exchange of a plan.
+type exchange struct {
+	pc       uint32
+	region   int
+	prefix   string
+	circuits map[uint32]int
+	rate     float64 // set-ups a second of its processor
+}
+
+// plan is a fleet drawn from a script's seed.
+type plan struct {
+	exchanges []*exchange
+	streams   []float64   // share of all calls by exchange
+	matrix    [][]float64 // share of an exchange's calls by destination
+}
+
+// stream makes a source of chance of its own for each purpose, so that a change in one leaves the others.
+func (d *Day) stream(purpose uint64) *rand.Rand { return rand.New(rand.NewPCG(d.Seed, purpose)) }
+
+const (
+	forPlan = iota + 1
+	forArrivals
+	forTroubles
+	forList
+	forSwitches
+)
+
+func (d *Day) plan() *plan {
+	rng := d.stream(forPlan)
+	f, t := d.Fleet, d.Traffic
+	n := f.Exchanges
+	p := &plan{streams: make([]float64, n), matrix: make([][]float64, n)}
+	logNormal := func(cv float64) float64 {
+		s := math.Sqrt(math.Log(1 + cv*cv))
+		return math.Exp(s*rng.NormFloat64() - s*s/2)
+	}
+	for i := range n {
+		p.exchanges = append(p.exchanges, &exchange{pc: uint32(101 + i), region: i * len(f.Regions) / n, prefix: fmt.Sprintf("82%02d", i), circuits: map[uint32]int{}})
+		p.streams[i] = logNormal(0.2)
+	}
+	total := 0.0
+	for _, s := range p.streams {
+		total += s
+	}
+	hold, shares := 0.0, 0.0
+	for _, c := range t.Classes {
+		hold += c.Share * c.Hold.Seconds()
+		shares += c.Share
+	}
+	hold /= shares
+	for i := range n {
+		p.streams[i] /= total
+		p.matrix[i] = make([]float64, n)
+		sum := 0.0
+		for j := range n {
+			if j != i {
+				p.matrix[i][j] = logNormal(0.4)
+				if p.exchanges[i].region == p.exchanges[j].region {
+					p.matrix[i][j] *= 1.5
+				}
+				sum += p.matrix[i][j]
+			}
+		}
+		for j := range n {
+			p.matrix[i][j] /= sum
+		}
+	}
+	type link struct {
+		i, j   int
+		planed float64
+	}
+	var links []link
+	for i := range n {
+		in := 0.0
+		for j := range n {
+			in += t.Planned * p.streams[j] * p.matrix[j][i]
+			if j > i {
+				e := hold * t.Planned * (p.streams[i]*p.matrix[i][j] + p.streams[j]*p.matrix[j][i])
+				links = append(links, link{i, j, e * logNormal(f.Missed)})
+			}
+		}
+		// A set-up and, a little later, its answer and its release.
+		p.exchanges[i].rate = in * (1 + 2*f.Switch.FollowWork) / f.Switch.Use
+	}
+	slices.SortFunc(links, func(a, b link) int { return cmp.Compare(a.planed, b.planed) })
+	for k, l := range links {
+		if k < int(f.Unlinked*float64(len(links))) && n > 3 { // mostly the thin ones; two ends of three must have a way round
+			continue
+		}
+		size := max(2, int(math.Ceil(l.planed+f.Spare*math.Sqrt(l.planed))))
+		size = min(size, isup.MaxCIC)
+		p.exchanges[l.i].circuits[p.exchanges[l.j].pc] = size
+		p.exchanges[l.j].circuits[p.exchanges[l.i].pc] = size
+	}
+	return p
+}
+
+// strike draws the exchanges that a trouble strikes.
+func (d *Day) strike(p *plan, x Trouble, rng *rand.Rand) []int {
+	var all []int
+	for i, e := range p.exchanges {
+		if x.Region == "" || d.Fleet.Regions[e.region] == x.Region {
+			all = append(all, i)
+		}
+	}
+	if x.Kind == RegionRestart || x.Kind == RegionCut || x.Kind == CircuitsLost {
+		if x.Region != "" {
+			return all
+		}
+		r := p.exchanges[rng.IntN(len(p.exchanges))].region
+		return slices.DeleteFunc(all, func(i int) bool { return p.exchanges[i].region != r })
+	}
+	rng.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	n := int(math.Round(x.Part * float64(len(all))))
+	all = all[:min(len(all), max(1, n))]
+	slices.Sort(all)
+	return all
+}
+
+// arrival is one call of the script.
+type arrival struct {
+	at        time.Duration
+	from      int
+	class     int
+	tenant    int
+	called    string
+	calling   string
+	hold      time.Duration
+	patience  time.Duration
+	redials   int
+	redialing time.Duration
+}
+
+// arrivals draws all calls of the day.
+func (d *Day) arrivals(p *plan) []arrival {
+	rng := d.stream(forArrivals)
+	t := d.Traffic
+	pick := func(weights []float64) int {
+		sum := 0.0
+		for _, w := range weights {
+			sum += w
+		}
+		x := rng.Float64() * sum
+		for i, w := range weights {
+			if x -= w; x < 0 {
+				return i
+			}
+		}
+		return len(weights) - 1
+	}
+	classes := make([]float64, len(t.Classes))
+	for i, c := range t.Classes {
+		classes[i] = c.Share
+	}
+	tenants := []float64{1}
+	if len(t.Tenants) > 0 {
+		tenants = nil
+		for _, x := range t.Tenants {
+			tenants = append(tenants, x.Share)
+		}
+	}
+	mass := max(0, slices.IndexFunc(t.Classes, func(c Class) bool { return c.Name == "mass" }))
+	matrix := make([][]float64, len(p.matrix))
+	drift := func() {
+		for i := range matrix {
+			matrix[i] = slices.Clone(p.matrix[i])
+			for j := range matrix[i] {
+				matrix[i][j] *= math.Exp(0.4 * rng.NormFloat64())
+			}
+		}
+	}
+	drift()
+	nextDrift := d.Traffic.Drift
+	var out []arrival
+	phase := rng.Float64() * 2 * math.Pi
+	for at := time.Duration(0); ; {
+		rate := t.Planned * t.Load * (1 + t.Swing*math.Sin(phase+2*math.Pi*at.Seconds()/20))
+		hot, impatient, impatientSize := 0.0, false, 0.0
+		for _, x := range d.Troubles {
+			if at < x.At || at >= x.At+x.For {
+				continue
+			}
+			switch x.Kind {
+			case LoadJump:
+				rate *= x.Size
+			case MassCalling:
+				hot = x.Size
+			case Impatient:
+				impatient, impatientSize = true, x.Size
+			}
+		}
+		if rate <= 0 {
+			return out
+		}
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= d.Length {
+			return out
+		}
+		if t.Drift > 0 && at >= nextDrift {
+			nextDrift += t.Drift
+			drift()
+		}
+		a := arrival{at: at, from: pick(p.streams), class: pick(classes), tenant: pick(tenants), redials: t.Redials, redialing: t.RedialAfter,
+			calling: fmt.Sprintf("90%06d", len(out))}
+		to := pick(matrix[a.from])
+		a.called = fmt.Sprintf("%s%05d", p.exchanges[to].prefix, rng.IntN(100000))
+		if rng.Float64() < hot { // every caller dials the same number
+			a.class = mass
+			if a.called = d.hotNumber(p); p.exchanges[a.from].prefix == a.called[:4] {
+				a.from = (a.from + 1) % len(p.exchanges)
+			}
+			a.redials, a.redialing = 3, 300*time.Millisecond
+		}
+		cl := t.Classes[a.class]
+		a.patience = cl.Patience
+		if impatient && a.tenant == 0 && rng.Float64() < 0.5 {
+			a.patience = max(150*time.Millisecond, time.Duration(impatientSize*float64(cl.Patience)))
+			a.redials, a.redialing = 4, 200*time.Millisecond
+		}
+		a.hold = time.Duration(rng.ExpFloat64() * float64(cl.Hold))
+		out = append(out, a)
+	}
+}
+
+// hotNumber is the number that all dial on a day with mass calling.
+func (d *Day) hotNumber(p *plan) string {
+	return p.exchanges[int(d.Seed%uint64(len(p.exchanges)))].prefix + "00000"
+}
+
+// hotLines are its lines.
+const hotLines = 4
--- /dev/null
+++ b/day/draw.go
@@ -0,0 +1,133 @@
+package day
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Draw draws a day from a seed: quiet, trouble (one to three troubles), overload (trouble with more calls than planned),
+// or only:KIND. The same seed and kind give the same day.
+func Draw(seed uint64, kind string) (*Day, error) {
+	rng := rand.New(rand.NewPCG(seed, 0xda7))
+	d := Default()
+	d.Seed = seed
+	d.Name = fmt.Sprintf("drawn-%s-%d", kind, seed)
+	d.Length = 30 * time.Second
+	between := func(a, b float64) float64 { return math.Round(100*(a+(b-a)*rng.Float64())) / 100 }
+	span := func(a, b float64) time.Duration { return time.Duration(between(a, b) * float64(time.Second)) }
+	d.Fleet.Exchanges = 5 + rng.IntN(3)
+	d.Fleet.Same = time.Duration(1+rng.IntN(5)) * time.Millisecond
+	d.Fleet.Cross = time.Duration(8+rng.IntN(14)) * time.Millisecond
+	d.Fleet.Spare = between(1, 2)
+	d.Fleet.Unlinked = between(0, 0.3)
+	d.Fleet.Switch.Use = between(0.65, 0.85)
+	d.Fleet.Switch.AnswersFirst = rng.IntN(2) == 0
+	d.Fleet.Switch.DropGivenUp = rng.IntN(2) == 0
+	d.Fleet.Switch.FullAfter = span(1.4, 3.4)
+	if rng.IntN(2) == 0 {
+		d.Fleet.Switch.Repeat = 0
+	}
+	d.Traffic.Planned = 10 * float64(d.Fleet.Exchanges)
+	d.Traffic.Redials = rng.IntN(3)
+	if rng.IntN(2) == 0 {
+		d.Traffic.Tenants = []Tenant{{"city", 0.5}, {"town", 0.3}, {"ward", 0.2}}
+	}
+	n := 1 + rng.IntN(3)
+	var kinds []Kind
+	switch {
+	case kind == "quiet":
+		n = 0
+		d.Traffic.Load = between(0.6, 0.75)
+	case kind == "trouble":
+		d.Traffic.Load = between(0.85, 0.95)
+	case kind == "overload":
+		d.Traffic.Load = between(1.1, 1.2)
+	case len(kind) > 5 && kind[:5] == "only:" && slices.Contains(Kinds, Kind(kind[5:])):
+		d.Traffic.Load = between(0.8, 0.9)
+		n, kinds = 1, []Kind{Kind(kind[5:])}
+	default:
+		return nil, fmt.Errorf("%q is no kind of day; quiet, trouble, overload or only:KIND can be, KIND one of %v", kind, Kinds)
+	}
+	for i := range n {
+		k := Kinds[rng.IntN(len(Kinds))]
+		if i < len(kinds) {
+			k = kinds[i]
+		}
+		x := Trouble{Kind: k, At: span(3, 12), For: span(6, 14), Part: between(0.15, 0.4)}
+		switch k {
+		case LoadJump:
+			x.Size = between(1.3, 1.8)
+		case Slow:
+			x.Size = between(2, 4)
+		case Ageing:
+			x.Size, x.Part = between(6, 15), between(0.15, 0.25)
+		case CircuitsLost:
+			x.Size = between(0.3, 0.6)
+		case CallsCut:
+			x.Size, x.For = between(0.2, 0.5), 3*time.Second
+		case ControllerStall:
+			x.For = span(1, 2)
+		case MassCalling:
+			x.Size = between(0.1, 0.3)
+		case Impatient:
+			x.Size = between(0.1, 0.3)
+		case ListLate:
+			x.Size, x.For, x.At = between(3, 8), d.Length, 0
+		case Replace:
+			x.For = span(8, 12)
+		case AssocReset:
+			x.For = time.Second
+		}
+		d.Troubles = append(d.Troubles, x)
+	}
+	if kind == "only:"+string(ListLate) { // late word of something
+		d.Troubles = append(d.Troubles, Trouble{Kind: Crash, At: 5 * time.Second, For: 8 * time.Second, Part: 0.2})
+	}
+	return &d, nil
+}
+
+// BadDay is the built-in bad day: six exchanges, six and more troubles that overlap.
+func BadDay() *Day {
+	d := Default()
+	d.Name, d.Length, d.Seed = "bad-day", 45*time.Second, 7
+	d.Traffic.Load = 0.95
+	d.Traffic.Tenants = []Tenant{{"city", 0.5}, {"town", 0.3}, {"ward", 0.2}}
+	s := time.Second
+	d.Troubles = []Trouble{
+		{Kind: LoadJump, At: 5 * s, For: 12 * s, Size: 1.4},
+		{Kind: Slow, At: 7 * s, For: 12 * s, Part: 0.34, Size: 3},
+		{Kind: Crash, At: 10 * s, For: 6 * s, Part: 0.17},
+		{Kind: CallsCut, At: 12 * s, For: 3 * s, Size: 0.3},
+		{Kind: ListLate, At: 8 * s, For: 25 * s, Size: 3},
+		{Kind: CircuitsLost, At: 14 * s, For: 10 * s, Region: "seoul", Size: 0.5},
+		{Kind: Hang, At: 20 * s, For: 7 * s, Part: 0.17},
+		{Kind: ControllerStall, At: 23 * s, For: 1500 * time.Millisecond, Part: 0.34},
+		{Kind: MassCalling, At: 22 * s, For: 10 * s, Size: 0.25},
+		{Kind: AssocReset, At: 27 * s, For: s, Part: 0.34},
+		{Kind: RegionCut, At: 30 * s, For: 5 * s, Region: "busan"},
+		{Kind: Impatient, At: 30 * s, For: 10 * s, Size: 0.2},
+	}
+	return &d
+}
+
+// QuietDay is a day without troubles.
+func QuietDay() *Day {
+	d := Default()
+	d.Name, d.Length, d.Seed = "quiet-day", 25*time.Second, 3
+	d.Traffic.Load = 0.65
+	return &d
+}
+
+// Builtin returns a built-in day by name; nil: there is none.
+func Builtin(name string) *Day {
+	switch name {
+	case "bad-day":
+		return BadDay()
+	case "quiet-day":
+		return QuietDay()
+	}
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -456,3 +456,10 @@
 func (c *Config) M3UA() m3ua.Timers {
 	return m3ua.Timers{Ack: c.Association.Ack, Tries: c.Association.Tries, Beat: c.Association.Beat, BeatLimit: c.Association.BeatLimit}
 }
+
+// Check checks settings that were made in the program; name stands in its errors.
+func (c *Config) Check(name string) error {
+	v := &Checker{name: name}
+	c.check(v)
+	return v.Err()
+}
