--- a/check/check.go
+++ b/check/check.go
@@ -95,7 +95,7 @@
 	Cut         int                `json:"cut"`
 	Attempts    int                `json:"attempts"`
 	Tandem      int                `json:"tandem_attempts"`
-	Yielded     int                `json:"dual_seizures"`
+	Dual        int                `json:"dual_seizures"`
 	Frames      int                `json:"frames"`
 	DelaysMS    [3]float64         `json:"set_up_ms_p50_p99_max"`
 }
@@ -142,6 +142,10 @@
 	lost                   // with its association, circuit or by dual seizure
 )
 
+func (e ending) String() string {
+	return [...]string{"out", "answered", "returned", "released", "lost"}[e]
+}
+
 // attempt is one set-up of a controller, as the switch saw it.
 type attempt struct {
 	ref        ref
@@ -463,7 +467,11 @@
 	case isup.CGB:
 		for i := 0; !f.In && m.Supervision == isup.Hardware && i <= int(m.Range); i++ {
 			k.cic = m.CIC + uint16(i)
-			if a := j.circuits[k]; a != nil && m.Status[i/8]>>(i%8)&1 == 1 {
+			if m.Status[i/8]>>(i%8)&1 == 0 {
+				continue
+			}
+			delete(j.transits, k)
+			if a := j.circuits[k]; a != nil {
 				j.end(k, a, lost, f.At)
 			}
 		}
@@ -486,7 +494,7 @@
 		case p.state == out:
 			j.broken(2, at, k.controller, r, "sent to %d while its attempt to %d of %v before is out", k.sw, p.sw, at-p.at)
 		case (p.state == released || p.state == lost) && at-p.end < j.spec.Guard-j.spec.Slack:
-			j.broken(5, at, k.controller, r, "sent to %d only %v after its attempt to %d ended unanswered", k.sw, at-p.end, p.sw)
+			j.broken(5, at, k.controller, r, "sent to %d only %v after its attempt to %d on circuit %d was %v", k.sw, at-p.end, p.sw, p.cic, p.state)
 		case p.state == answered:
 			j.broken(1, at, k.controller, r, "sent to %d after it stood", k.sw)
 		}
@@ -513,6 +521,9 @@
 			j.broken(4, at, k.controller, r, "%d set-ups within %v reached switch %d, started %v before; %.0f can be", len(c.recent), j.spec.Cold.Span, k.sw, at-c.at, limit)
 		}
 	}
+	if b := j.circuits[circuitKey{wayKey{k.sw, k.controller}, k.cic}]; b != nil && b.state == out {
+		j.report.Dual++
+	}
 	a := &attempt{ref: r, controller: k.controller, sw: k.sw, cic: k.cic, at: at}
 	j.attempts[ak] = append(j.attempts[ak], a)
 	j.circuits[k] = a
@@ -539,11 +550,6 @@
 	if !f.In {
 		switch m.Type {
 		case isup.IAM:
-			// The far end has seized the circuit. If it controls it, an attempt that is out there has lost it.
-			if a := j.circuits[k]; a != nil && a.state == out && (l.Controller > other) != (m.CIC%2 == 0) {
-				j.report.Yielded++
-				j.end(k, a, lost, f.At)
-			}
 			if dest, ok := j.spec.Exchange(m.Called.String()); ok && dest != l.Controller {
 				j.transits[k] = &transit{ref: ref{m.Ref.ID, m.Ref.PC}, at: f.At, class: j.classOf(m.Category)}
 			} else {
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -230,6 +230,8 @@
 	switch m.Type {
 	case isup.ACM, isup.CPG:
 		if k == nil || k.phase != offered {
+			f.group.FromFar(m)
+			c.acts(f)
 			break
 		}
 		back := isup.Message{Type: isup.ACM, Backward: m.Backward}
@@ -241,6 +243,8 @@
 	case isup.ANM, isup.CON:
 		if k == nil || k.phase != offered {
 			c.Counters.LateAnswers++ // after the own time-out: REL is under way
+			f.group.FromFar(m)
+			c.acts(f)
 			break
 		}
 		c.wheel.Stop(k.timeOut)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -402,6 +402,7 @@
 			continue
 		}
 		r.none(own)
+		r.one(two, isup.REL)                                 // its switch may never have seen the two meet
 		r.from(two, 2, isup.Message{Type: isup.CON, CIC: 1}) // of the call that yielded: disregarded
 		r.none(client)
 		r.wait(150 * ms)
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"flag"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,11 @@
 	"github.com/umbergauge/umbergauge/internal/memnet"
 )
 
+var (
+	days  = flag.Uint64("days", 0, "drawn days of each kind to play in TestDrawnDays, beyond those of CI")
+	first = flag.Uint64("first", 100, "their first seed")
+)
+
 // play plays a day in exact time, without sockets.
 func play(t *testing.T, d *Day, change ...func(*Options)) Result {
 	t.Helper()
@@ -43,3 +50,51 @@
 		t.Errorf("service %.3f", res.Report.Whole.Share)
 	}
 }
+
+func TestBadDay(t *testing.T) {
+	res := play(t, BadDay())
+	t.Logf("whole %.3f, worst 10 s %.3f, worst class %s, delays %v, %d attempts", res.Report.Whole.Share, res.Report.WorstWindow.Share, res.Report.WorstClass, res.Report.DelaysMS, res.Report.Attempts)
+	for _, x := range res.Report.Troubles {
+		t.Logf("%-18s %.3f", x.Name, x.Service.Share)
+	}
+}
+
+// Every kind of trouble, alone, through the whole path.
+func TestTroubles(t *testing.T) {
+	for _, k := range Kinds {
+		t.Run(string(k), func(t *testing.T) {
+			d, err := Draw(1, "only:"+string(k))
+			if err != nil {
+				t.Fatal(err)
+			}
+			res := play(t, d)
+			t.Logf("whole %.3f, worst 10 s %.3f, in it %+v", res.Report.Whole.Share, res.Report.WorstWindow.Share, res.Report.Troubles[0].Service.Share)
+		})
+	}
+}
+
+// Drawn days that nobody tuned to: no rule breaks.
+func TestDrawnDays(t *testing.T) {
+	kinds := []string{"trouble", "overload"}
+	seeds := []uint64{1, 2, 3, 4, 5}
+	if *days > 0 {
+		for _, k := range Kinds {
+			kinds = append(kinds, "only:"+string(k))
+		}
+		seeds = nil
+		for s := range *days {
+			seeds = append(seeds, *first+s)
+		}
+	}
+	for _, k := range kinds {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s-%d", k, seed), func(t *testing.T) {
+				d, err := Draw(seed, k)
+				if err != nil {
+					t.Fatal(err)
+				}
+				play(t, d)
+			})
+		}
+	}
+}
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -308,6 +308,10 @@
 	g.alarm(g.t.T1, cic, wakeRelease)
 }
 
+func (g *Group) toFarREL(cic uint16, cause isup.Cause) {
+	g.do(ToFar{isup.Message{Type: isup.REL, CIC: cic, Cause: cause, Location: isup.LocationNetwork}})
+}
+
 // Verdict is what is made of a seizure by the far end.
 type Verdict uint8
 
@@ -315,7 +319,7 @@
 const (
 	Taken     Verdict = iota // the far end's call has the circuit
 	Ours                     // dual seizure on a circuit that we control: it is disregarded (Q.764, 2.9.1.4)
-	Nonsense                 // the circuit does not exist or holds a call that the far end must know of: it is reset
+	Nonsense                 // the circuit does not exist
 	Duplicate                // the far end's seizure is known already
 )
 
@@ -327,19 +331,16 @@
 	c := &g.circuits[cic]
 	switch c.state {
 	case Outgoing:
-		if c.answered {
-			// The far end has answered here and seized there: one of the two is wrong. The circuit is cleared at both.
-			g.Resets++
-			g.lose(cic, WasReset)
-			g.reset(cic)
-			g.do(ToOwn{isup.Message{Type: isup.RSC, CIC: cic}})
-			return Nonsense
-		}
+		// Dual seizure. The end that controls the circuit goes on, the other yields (Q.764, 2.9.1.4): also with an answer at
+		// hand, for word of the far end's seizure may come late.
 		g.DualSeizures++
 		if g.controls(cic) {
 			g.do(ToOwn{isup.Message{Type: isup.RSC, CIC: cic}})
 			return Ours
 		}
+		// The far switch has our IAM, and its controller may never have seen the two meet: it is told that the call is over,
+		// so that no second attempt can meet the first.
+		g.toFarREL(cic, isup.CauseTemporary)
 		g.do(Lost{c.call, cic, true, Yielded})
 		g.set(cic, Incoming, call)
 		return Taken
@@ -374,8 +375,8 @@
 	g.alarm(g.t.T16, cic, wakeReset)
 }
 
-// FromFar takes a message of the far switch about circuits: RLC, REL of a circuit without a call, and all of
-// supervision. Calls' messages (ACM, ANM, CON, CPG and REL of a call) are the owner's.
+// FromFar takes a message of the far switch about circuits: RLC, REL, all of supervision, and the answers to a set-up
+// where no call of the owner's is on the circuit. Answers to its calls are the owner's.
 func (g *Group) FromFar(m *isup.Message) {
 	if !g.has(m.CIC) {
 		return
@@ -391,6 +392,11 @@
 		if c.state == Releasing || c.state == Resetting {
 			g.set(m.CIC, Idle, 0)
 		}
+	case isup.ACM, isup.CPG, isup.ANM, isup.CON:
+		if c.state == Idle { // it holds a call that we know nothing of (Q.764, 2.9.5.1 b)
+			g.Leaks++
+			g.reset(m.CIC)
+		}
 	case isup.BLO:
 		g.block(m.CIC, true, false)
 		g.toFar(isup.BLA, m.CIC)
@@ -581,6 +587,14 @@
 
 // response compares a switch's view of its circuits with the own one.
 func (g *Group) response(m *isup.Message, far bool) {
+	if far {
+		// One answer to each question: the answer to a repeated one may be older than what has been sent since.
+		n, asked := g.queries[m.CIC]
+		if !asked || len(m.Circuits) < n {
+			return
+		}
+		delete(g.queries, m.CIC)
+	}
 	for i, s := range m.Circuits {
 		cic := m.CIC + uint16(i)
 		if !g.has(cic) {
@@ -619,9 +633,6 @@
 		}
 	}
 	if far {
-		if n, asked := g.queries[m.CIC]; asked && len(m.Circuits) >= n {
-			delete(g.queries, m.CIC)
-		}
 		g.inSync = g.inSync || len(g.queries) == 0
 	}
 }
@@ -674,7 +685,7 @@
 			g.reset(w.CIC)
 			return
 		}
-		g.do(ToFar{isup.Message{Type: isup.REL, CIC: w.CIC, Cause: isup.CauseTimer, Location: isup.LocationNetwork}})
+		g.toFarREL(w.CIC, isup.CauseTimer)
 		g.alarm(g.t.T1, w.CIC, wakeRelease)
 	case w.Kind == wakeReset && c.state == Resetting:
 		g.toFar(isup.RSC, w.CIC)
