--- a/check/check.go
+++ b/check/check.go
@@ -464,6 +464,13 @@
 				j.end(k, a, lost, f.At)
 			}
 		}
+	case isup.CQR: // what the switch takes for idle has ended there, with its release lost
+		for i := 0; !f.In && i < len(m.Circuits); i++ {
+			k.cic = m.CIC + uint16(i)
+			if a := j.circuits[k]; a != nil && a.standing && m.Circuits[i]&isup.CircuitStateMask == isup.CircuitIdle {
+				j.end(k, a, lost, f.At)
+			}
+		}
 	case isup.CGB:
 		for i := 0; !f.In && m.Supervision == isup.Hardware && i <= int(m.Range); i++ {
 			k.cic = m.CIC + uint16(i)
--- a/daemon/link.go
+++ b/daemon/link.go
@@ -34,6 +34,12 @@
 // batches are buffers of whole frames on their way to the decision goroutine.
 var batches = sync.Pool{New: func() any { b := make([]byte, 0, 16*1024); return &b }}
 
+func newBatch() *[]byte {
+	b := batches.Get().(*[]byte)
+	*b = (*b)[:0] // else it would bring frames of another association
+	return b
+}
+
 func (d *Daemon) newLink(conn net.Conn, p controller.Peer, asp *m3ua.ASP) *link {
 	return &link{d: d, id: controller.Assoc(d.nextID.Add(1)), peer: p, conn: conn, asp: asp,
 		wake: make(chan struct{}, 1), flushed: make(chan struct{})}
@@ -150,7 +156,7 @@
 func (l *link) read(ctx context.Context) {
 	sc := m3ua.NewScanner(l.conn)
 	var m m3ua.Message
-	batch := batches.Get().(*[]byte)
+	batch := newBatch()
 	defer func() { batches.Put(batch) }()
 	pass := func(ev event) bool {
 		select {
@@ -207,8 +213,7 @@
 		}
 		if len(*batch) > 0 && (!sc.Buffered() || len(*batch) > 12*1024) {
 			full := batch
-			batch = batches.Get().(*[]byte)
-			*batch = (*batch)[:0]
+			batch = newBatch()
 			if !pass(event{kind: evFrames, link: l, batch: full}) {
 				return
 			}
