--- /dev/null
+++ b/cmd/umbergauge/day.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/umbergauge/umbergauge/check"
+	"github.com/umbergauge/umbergauge/day"
+	"github.com/umbergauge/umbergauge/day/plain"
+	"github.com/umbergauge/umbergauge/isup"
+	"github.com/umbergauge/umbergauge/m3ua"
+	"github.com/umbergauge/umbergauge/record"
+)
+
+// Sockets and goroutines of a whole fleet on one machine are late now and then: what the checker allows for, and what
+// the controllers keep beyond the rule's guard.
+const (
+	slack  = 75 * time.Millisecond
+	margin = 50 * time.Millisecond
+)
+
+func dayCommand() *cobra.Command {
+	var seed uint64
+	var asJSON, draw, plainly, verbose bool
+	var kind, trace string
+	c := &cobra.Command{
+		Use:   "day [FILE|NAME]",
+		Short: "Play a scripted day through real controllers on loopback and judge it; without FILE the built-in bad day",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			d, err := pickDay(args, draw, seed, kind)
+			if err != nil {
+				return err
+			}
+			if cmd.Flags().Changed("seed") {
+				d.Seed = seed
+			}
+			if draw && len(args) == 0 && !cmd.Flags().Changed("play") {
+				b, err := yaml.Marshal(d)
+				if err != nil {
+					return err
+				}
+				_, err = cmd.OutOrStdout().Write(b)
+				return err
+			}
+			opt := day.Options{Log: zerolog.Nop(), Slack: slack, Margin: margin}
+			if verbose {
+				opt.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, TimeFormat: time.StampMilli}).With().Timestamp().Logger()
+			}
+			if plainly {
+				opt.Module = plain.New
+			}
+			if !asJSON {
+				fmt.Fprintf(cmd.ErrOrStderr(), "playing %s, seed %d: %d exchanges, %v, %d troubles\n", d.Name, d.Seed, d.Fleet.Exchanges, d.Length, len(d.Troubles))
+			}
+			res, err := day.Play(cmd.Context(), d, opt)
+			if err != nil {
+				return short{err}
+			}
+			if trace != "" {
+				traceCall(cmd.ErrOrStderr(), res.Record, trace)
+			}
+			if asJSON {
+				e := json.NewEncoder(cmd.OutOrStdout())
+				e.SetIndent("", "  ")
+				if err := e.Encode(res); err != nil {
+					return err
+				}
+			} else {
+				report(cmd.OutOrStdout(), res)
+			}
+			if n := len(res.Report.Broken); n > 0 {
+				return fellShort("%d times a rule was broken", n)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.Uint64Var(&seed, "seed", 1, "seed of the day")
+	f.BoolVar(&asJSON, "json", false, "print the verdict as JSON")
+	f.BoolVar(&draw, "draw", false, "draw a day from the seed and print it (with --play: play it)")
+	f.StringVar(&kind, "kind", "trouble", "kind of the drawn day: quiet, trouble, overload or only:KIND")
+	f.Bool("play", false, "play the drawn day")
+	f.BoolVar(&plainly, "plain", false, "play it with plain direct-only routing, for comparison")
+	f.BoolVarP(&verbose, "verbose", "v", false, "show the controllers' logs")
+	f.StringVar(&trace, "trace", "", "show the frames of the call REF (as findings name it)")
+	return c
+}
+
+func pickDay(args []string, draw bool, seed uint64, kind string) (*day.Day, error) {
+	if draw {
+		if len(args) > 0 {
+			return nil, fmt.Errorf("--draw takes no file")
+		}
+		return day.Draw(seed, kind)
+	}
+	if len(args) == 0 {
+		return day.BadDay(), nil
+	}
+	if d := day.Builtin(args[0]); d != nil {
+		return d, nil
+	}
+	d, err := day.Load(args[0])
+	if err != nil {
+		return nil, short{err}
+	}
+	return d, nil
+}
+
+// traceCall shows the IAMs of a call and all that happened on their circuits.
+func traceCall(w io.Writer, rec record.Day, call string) {
+	type circuit struct {
+		a, b uint32
+		cic  uint16
+	}
+	on := map[circuit]bool{}
+	check.Trace(io.Discard, rec, func(_ record.Link, m *m3ua.Message, u *isup.Message) bool {
+		if u != nil && u.Type == isup.IAM && fmt.Sprintf("%d.%d", u.Ref.PC, u.Ref.ID) == call {
+			on[circuit{m.Data.OPC, m.Data.DPC, u.CIC}] = true
+			on[circuit{m.Data.DPC, m.Data.OPC, u.CIC}] = true
+		}
+		return false
+	})
+	check.Trace(w, rec, func(_ record.Link, m *m3ua.Message, u *isup.Message) bool {
+		return u != nil && on[circuit{m.Data.OPC, m.Data.DPC, u.CIC}]
+	})
+}
+
+func report(w io.Writer, res day.Result) {
+	r := res.Report
+	fmt.Fprintf(w, "%s, seed %d (on loopback, with stand-in switches and clients)\n\n", res.Name, res.Seed)
+	fmt.Fprintf(w, "service         %6.3f of %d calls' worth\n", r.Whole.Share, r.Whole.Calls)
+	fmt.Fprintf(w, "worst 10 s      %6.3f from %v on\n", r.WorstWindow.Share, r.WorstFrom.Round(time.Second))
+	for _, name := range res.Classes() {
+		mark := ""
+		if name == r.WorstClass {
+			mark = "  (worst)"
+		}
+		fmt.Fprintf(w, "  %-13s %6.3f of %d calls%s\n", name, r.Classes[name].Share, r.Classes[name].Calls, mark)
+	}
+	if len(r.Troubles) > 0 {
+		fmt.Fprintln(w, "\ncalls offered during")
+		for _, t := range r.Troubles {
+			fmt.Fprintf(w, "  %-18s %6.3f of %4d calls, %v from %v on\n", t.Name, t.Service.Share, t.Service.Calls, t.Span, t.From.Round(100*time.Millisecond))
+		}
+	}
+	fmt.Fprintf(w, "\ntries %d: stood %d, refused or failed %d, given up %d, cut %d\n", r.Tries, r.Stood, r.Refused, r.GivenUp, r.Cut)
+	fmt.Fprintf(w, "attempts %d, of them by tandem %d; dual seizures %d; frames %d\n", r.Attempts, r.Tandem, r.Dual, r.Frames)
+	fmt.Fprintf(w, "set-up time p50 %.0f ms, p99 %.0f ms, longest %.0f ms\n", r.DelaysMS[0], r.DelaysMS[1], r.DelaysMS[2])
+	fmt.Fprintf(w, "\nrules broken: %d\n", len(r.Broken))
+	for i, f := range r.Broken {
+		if i == 20 {
+			fmt.Fprintf(w, "  ... and %d more\n", len(r.Broken)-i)
+			break
+		}
+		fmt.Fprintf(w, "  %v\n", f)
+	}
+}
--- /dev/null
+++ b/cmd/umbergauge/run.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/umbergauge/umbergauge/daemon"
+	"github.com/umbergauge/umbergauge/internal/config"
+)
+
+func logger(l config.Log, w io.Writer) zerolog.Logger {
+	if l.Format == "console" {
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.StampMilli}
+	}
+	level, err := zerolog.ParseLevel(l.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(w).Level(level).With().Timestamp().Logger()
+}
+
+func runCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "run -c FILE",
+		Short: "Run a call controller until SIGTERM, which drains it; SIGHUP reads the settings again",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := config.Load(file)
+			if err != nil {
+				return short{err}
+			}
+			log := logger(cfg.Log, cmd.ErrOrStderr())
+			d, err := daemon.New(daemon.Options{Config: cfg, Log: log})
+			if err != nil {
+				return short{err}
+			}
+			ctx, cancel := context.WithCancel(cmd.Context())
+			defer cancel()
+			signals := make(chan os.Signal, 4)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			defer signal.Stop(signals)
+			done := make(chan error, 1)
+			go func() { done <- d.Run(ctx) }()
+			terms := 0
+			for {
+				select {
+				case err := <-done:
+					if err != nil {
+						return short{err}
+					}
+					return nil
+				case s := <-signals:
+					if s == syscall.SIGHUP {
+						if next, err := config.Load(file); err != nil {
+							log.Error().Err(err).Msg("reload refused, all stays as it was")
+						} else if err := d.Reload(ctx, next); err != nil {
+							log.Error().Err(err).Msg("reload refused, all stays as it was")
+						} else {
+							log.Info().Msg("reloaded")
+						}
+						continue
+					}
+					if terms++; terms > 1 { // asked twice: at once
+						cancel()
+					}
+					d.Drain()
+				}
+			}
+		},
+	}
+	c.Flags().StringVarP(&file, "config", "c", "", "settings file")
+	c.MarkFlagRequired("config")
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "check -c FILE",
+		Short: "Say whether settings are good, with every fault and its line",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := config.Load(file)
+			if err != nil {
+				return short{err}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: exchange %d, %d exchanges, %d classes\n", file, cfg.Exchange, len(cfg.Exchanges), len(cfg.Classes))
+			return nil
+		},
+	}
+	c.Flags().StringVarP(&file, "config", "c", "", "settings file")
+	c.MarkFlagRequired("config")
+	return c
+}
