Daemon and checker tests; a panic no longer strands the events behind it, reloaded connectors end

The panic test showed that the module stayed shut for all calls after one panic, the silent switch test that connectors made by a reload outlived the daemon.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -242,6 +242,7 @@
 	dirty     []*far
 	events    []brain.Event
 	actions   []brain.Action
+	told      int // of events
 	telling   bool
 	draining  bool
 	cuts      map[pair]time.Duration
@@ -417,15 +418,31 @@
 	}
 }
 
-// tell hands events to the module, one after the other, and carries out what it says.
+// tell hands events to the module, one after the other, and carries out what it says. A panic on the way leaves by here,
+// but not before the events behind the one that set it off have been told: others' calls hang on them.
 func (c *Core) tell(ev brain.Event) {
 	c.events = append(c.events, ev)
 	if c.telling {
 		return
 	}
 	c.telling = true
-	for i := 0; i < len(c.events); i++ {
-		c.actions = c.module.Handle(c.now, c.events[i], c.actions[:0])
+	defer func() {
+		for c.told < len(c.events) {
+			func() {
+				defer func() { recover() }()
+				c.tellAll()
+			}()
+		}
+		c.telling, c.events, c.told = false, c.events[:0], 0
+	}()
+	c.tellAll()
+}
+
+func (c *Core) tellAll() {
+	for c.told < len(c.events) {
+		ev := c.events[c.told]
+		c.told++
+		c.actions = c.module.Handle(c.now, ev, c.actions[:0])
 		for _, a := range c.actions {
 			switch a := a.(type) {
 			case brain.SetUp:
@@ -439,8 +456,6 @@
 			}
 		}
 	}
-	c.events = c.events[:0]
-	c.telling = false
 }
 
 // Up takes an association that is active now.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,6 +55,7 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	peers     peers
+	running   context.Context // of Run, for what a reload starts
 	msg       m3ua.Message
 }
 
@@ -149,6 +150,7 @@
 // Run works until ctx ends, which cuts everything off, or a drain is done. It returns when all its goroutines have.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	d.running = ctx
 	defer d.wg.Wait()
 	defer cancel()
 	defer d.closeListeners()
@@ -374,7 +376,7 @@
 		}
 		if err = d.core.Reload(d.now(), cfg.ExchangeList()); err == nil {
 			d.cfg.Exchanges = cfg.Exchanges
-			d.connectAll(ctx)
+			d.connectAll(d.running)
 		}
 	}); e != nil {
 		return e
