--- a/cmd/umbergauge/run.go
+++ b/cmd/umbergauge/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 func runCommand() *cobra.Command {
-	var file string
+	var file, profile string
 	c := &cobra.Command{
 		Use:   "run -c FILE",
 		Short: "Run a call controller until SIGTERM, which drains it; SIGHUP reads the settings again",
@@ -44,6 +45,17 @@
 			if err != nil {
 				return short{err}
 			}
+			if profile != "" {
+				f, err := os.Create(profile)
+				if err != nil {
+					return short{err}
+				}
+				defer f.Close()
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return short{err}
+				}
+				defer pprof.StopCPUProfile()
+			}
 			ctx, cancel := context.WithCancel(cmd.Context())
 			defer cancel()
 			signals := make(chan os.Signal, 4)
@@ -79,6 +91,7 @@
 		},
 	}
 	c.Flags().StringVarP(&file, "config", "c", "", "settings file")
+	c.Flags().StringVar(&profile, "cpuprofile", "", "write a CPU profile to this file")
 	c.MarkFlagRequired("config")
 	return c
 }
