--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -604,6 +604,48 @@
 	}
 }
 
+// spy hands events on to the module and keeps them.
+type spy struct {
+	Module
+	events *[]brain.Event
+}
+
+func (s spy) Handle(now time.Duration, ev brain.Event, out []brain.Action) []brain.Action {
+	*s.events = append(*s.events, ev)
+	return s.Module.Handle(now, ev, out)
+}
+
+// Congestion and changes of circuits reach the module.
+func TestStatus(t *testing.T) {
+	var events []brain.Event
+	r := newRig(t, 10, func(c *Config) {
+		c.Module = func(b brain.Config) (Module, error) {
+			m, err := brain.New(b)
+			return spy{m, &events}, err
+		}
+	})
+	last := func() brain.Status {
+		for i := len(events) - 1; i >= 0; i-- {
+			if s, ok := events[i].(brain.Status); ok {
+				return s
+			}
+		}
+		return brain.Status{}
+	}
+	r.c.Handle(r.now, own, &m3ua.Message{Kind: m3ua.SCON, Affected: []m3ua.Affected{{PC: 2}}, Congestion: 3})
+	if s := last(); s.Exchange != "h2" || s.Report.HoldBack != 1 || s.Report.Free != 10 {
+		t.Errorf("%+v", s)
+	}
+	r.from(own, 2, iam(4, "1001"))
+	if s := last(); s.Exchange != "h2" || s.Report.Free != 9 || s.Report.Size != 10 || s.Report.HoldBack >= 0 {
+		t.Errorf("%+v", s)
+	}
+	r.from(own, 2, isup.Message{Type: isup.REL, CIC: 4, Cause: isup.CauseNormal})
+	if s := last(); s.Report.Free != 10 {
+		t.Errorf("%+v", s)
+	}
+}
+
 func TestDrain(t *testing.T) {
 	r := newRig(t, 10)
 	r.offer(1, "2001")
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"flag"
 	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/rs/zerolog"
 
 	"github.com/umbergauge/umbergauge/internal/memnet"
@@ -98,3 +101,43 @@
 		}
 	}
 }
+
+// A drawn day that is printed and read again is the same day.
+func TestDrawnDayRoundTrip(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, kind := range []string{"quiet", "trouble", "overload"} {
+			d, err := Draw(seed, kind)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, err := yaml.Marshal(d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := Parse("drawn", b)
+			if err != nil {
+				t.Fatalf("%v\n%s", err, b)
+			}
+			if !reflect.DeepEqual(got, d) {
+				t.Fatalf("%+v\nbecame %+v", d, got)
+			}
+		}
+	}
+	if _, err := Draw(1, "only:nothing"); err == nil {
+		t.Error("an unknown kind is drawn")
+	}
+}
+
+func TestScriptFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"lenght: 3s": "d.yaml:1:1: lenght",
+		"length: 3s\ntroubles: [{kind: flood, at: 1s, for: 1s}]": "troubles[0].kind",
+		"length: 3s\ntroubles: [{kind: slow, at: 1s, for: 1s}]":  "troubles[0].size",
+		"fleet: {exchanges: 1}":                                  "fleet.exchanges",
+		"traffic: {classes: []}":                                 "traffic.classes",
+	} {
+		if _, err := Parse("d.yaml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +82,22 @@
 		t.Errorf("not all faults at once: %v", err)
 	}
 }
+
+// The README's example is a good file.
+func TestReadme(t *testing.T) {
+	b, err := os.ReadFile("../../README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text []string
+	for _, l := range strings.Split(string(b), "\n") {
+		if in := strings.HasPrefix(l, "    "); in && (len(text) > 0 || strings.HasPrefix(l, "    exchange:")) {
+			text = append(text, l[4:])
+		} else if len(text) > 0 {
+			break
+		}
+	}
+	if _, err := Parse("README.md", []byte(strings.Join(text, "\n"))); err != nil || len(text) < 10 {
+		t.Errorf("%d lines: %v", len(text), err)
+	}
+}
