--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -431,7 +431,7 @@
 	}
 	r.from(own, 2, isup.Message{Type: isup.REL, CIC: 9, Cause: isup.CauseNormal})
 	r.one(three, isup.REL)
-	r.none(own)
+	r.one(own, isup.RLC) // only now may the far end take the circuit again
 	if r.c.byPC[2].group.Free() != 10 || r.c.Open() != 0 {
 		t.Error("something is left")
 	}
--- a/day/play.go
+++ b/day/play.go
@@ -63,7 +63,7 @@
 	late     func(at time.Duration) time.Duration
 	wg       sync.WaitGroup
 	start    time.Time
-	listMu   sync.Mutex
+	listMu   sync.Mutex // of addrs and listRng
 	listRng  *rand.Rand
 }
 
@@ -104,7 +104,7 @@
 		c.Clients = append(c.Clients, config.Client{Name: x.Name, ASP: clientPC(self, t), Tenant: x.Name})
 	}
 	for i, x := range p.exchanges {
-		e := config.Exchange{PointCode: x.pc, Name: fmt.Sprintf("%s-%d", d.Fleet.Regions[x.region], i+1), Switch: addrs[i], Prefixes: []string{x.prefix}}
+		e := config.Exchange{PointCode: x.pc, Name: fmt.Sprintf("%s-%d", d.Fleet.Regions[x.region], i+1), Switch: slices.Clone(addrs[i]), Prefixes: []string{x.prefix}}
 		if i != self {
 			e.Circuits = p.exchanges[self].circuits[x.pc]
 		}
@@ -391,7 +391,9 @@
 		})
 		if sleep(ctx, x.For-drain) {
 			each(func(i int) {
+				w.listMu.Lock()
 				w.addrs[i][0], w.addrs[i][1] = w.addrs[i][1], w.addrs[i][0]
+				w.listMu.Unlock()
 				w.restart(ctx, i)
 			})
 		}
@@ -463,8 +465,11 @@
 
 // restart brings a switch back, cold.
 func (w *world) restart(ctx context.Context, i int) {
+	w.listMu.Lock()
+	addr := w.addrs[i][0]
+	w.listMu.Unlock()
 	for range 50 { // the port of a switch that has just ended may still be taken
-		if _, err := w.switches[i].Start(w.addrs[i][0], true); err == nil {
+		if _, err := w.switches[i].Start(addr, true); err == nil {
 			w.announce(ctx, m3ua.DAVA, i, 1300*time.Millisecond)
 			return
 		}
--- /dev/null
+++ b/script/check.go
@@ -0,0 +1,798 @@
+package script
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Bounds of a program.
+const (
+	maxVars       = 64
+	maxStates     = 32
+	maxFns        = 128
+	maxHooks      = 64
+	maxLocals     = 200 // of a function
+	maxCallDepth  = 16  // of functions that call functions
+	defaultSteps  = 5000
+	maxSteps      = 1_000_000
+	defaultMemory = 32 << 10
+	maxMemory     = 1 << 20
+	maxList       = 1024
+)
+
+// checker types a program. After a fault it goes on, so that all are told at once.
+type checker struct {
+	f      *file
+	errs   Errors
+	consts map[string]*constDecl
+	vars   map[string]*varDecl
+	states map[string]*stateDecl
+	fns    map[string]*fnDecl
+	hooks  []*hookDecl
+	all    map[string]Pos
+
+	scope  []map[string]*local
+	locals int
+	fn     *fnDecl
+	hook   *hookDecl
+	loops  int
+	warns  Errors
+}
+
+func (c *checker) fail(p Pos, format string, args ...any) {
+	if len(c.errs) < maxErrors {
+		c.errs = append(c.errs, &Error{c.f.name, p, fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *checker) warn(p Pos, format string, args ...any) {
+	c.warns = append(c.warns, &Error{c.f.name, p, fmt.Sprintf(format, args...)})
+}
+
+// near finds the known name that somebody may have meant.
+func near(name string, known []string) string {
+	best, least := "", 3
+	for _, k := range known {
+		if d := distance(name, k); d < least && d < len(name) {
+			best, least = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; %s?", best)
+}
+
+// distance is the Levenshtein distance of short words.
+func distance(a, b string) int {
+	if len(a) > 32 || len(b) > 32 {
+		return 99
+	}
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := last
+			if a[i] != b[j] {
+				cost++
+			}
+			last = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+func check(f *file) (*checker, Errors) {
+	c := &checker{f: f, consts: map[string]*constDecl{}, vars: map[string]*varDecl{}, states: map[string]*stateDecl{},
+		fns: map[string]*fnDecl{}, all: map[string]Pos{}}
+	for _, d := range f.decls {
+		c.declare(d)
+	}
+	for _, d := range f.decls { // in the order of the file: a constant can use those before it
+		switch d := d.(type) {
+		case *constDecl:
+			d.ty = c.constant(d.x, "a constant")
+		case *varDecl:
+			d.ty = c.constant(d.x, "the first value of a variable")
+			if d.ty.kind == kList || d.ty.kind == kMap || d.ty.kind == kPattern {
+				c.fail(d.pos, "a variable holds an int, float, bool, duration or string, no %v", d.ty)
+			}
+		}
+	}
+	for _, d := range f.decls {
+		switch d := d.(type) {
+		case *fnDecl:
+			c.function(d)
+		case *hookDecl:
+			c.hookBody(d)
+		}
+	}
+	c.recursion()
+	return c, c.errs
+}
+
+func (c *checker) declare(d decl) {
+	name := ""
+	switch d := d.(type) {
+	case *constDecl:
+		name, c.consts[d.name] = d.name, d
+	case *varDecl:
+		d.slot = len(c.vars)
+		name, c.vars[d.name] = d.name, d
+	case *stateDecl:
+		d.slot = len(c.states)
+		name, c.states[d.name] = d.name, d
+	case *fnDecl:
+		d.index, d.calls = len(c.fns), map[*fnDecl]Pos{}
+		name, c.fns[d.name] = d.name, d
+		for _, b := range builtins {
+			if b.object == "" && b.name == d.name {
+				c.fail(d.pos, "%s is a function of the language already", d.name)
+			}
+		}
+	case *hookDecl:
+		d.calls = map[*fnDecl]Pos{}
+		c.hooks = append(c.hooks, d)
+		c.attributes(d)
+		return
+	}
+	if p, twice := c.all[name]; twice {
+		c.fail(d.at(), "%s is declared on line %d already", name, p.Line)
+	}
+	c.all[name] = d.at()
+	if len(c.vars) > maxVars || len(c.states) > maxStates || len(c.fns) > maxFns || len(c.hooks) > maxHooks {
+		c.fail(d.at(), "too many declarations: %d variables, %d rates, tops and counters, %d functions and %d hooks can be", maxVars, maxStates, maxFns, maxHooks)
+	}
+}
+
+func (c *checker) attributes(d *hookDecl) {
+	if !slices.Contains(HookNames, d.hook) {
+		c.fail(d.pos, "%q is no hook%s; %s can be", d.hook, near(d.hook, HookNames), strings.Join(HookNames[:5], ", "))
+	}
+	if d.hook == Every && d.every < 1e9 {
+		c.fail(d.pos, "every %v; 1s is the least", d.every)
+	}
+	d.steps, d.memory = defaultSteps, defaultMemory
+	for _, a := range d.attrs {
+		switch v := a.value; {
+		case a.name == "failure" && v.kind == tName && (v.text == "refuse" || v.text == "default"):
+			d.refuse = v.text == "refuse"
+			if d.refuse && d.hook != Arrival {
+				c.fail(a.pos, "only an arrival can be refused when its hook fails")
+			}
+		case a.name == "steps" && v.kind == tInt && v.i >= 1 && v.i <= maxSteps:
+			d.steps = int(v.i)
+		case a.name == "memory" && v.kind == tInt && v.i >= 0 && v.i <= maxMemory:
+			d.memory = int(v.i)
+		default:
+			c.fail(a.pos, "@%s(%s) cannot be; @failure(default or refuse), @steps(1 to %d) and @memory(0 to %d) can", a.name, v.text, maxSteps, maxMemory)
+		}
+	}
+}
+
+// constant types an expression of literals and earlier constants.
+func (c *checker) constant(x expr, what string) Type {
+	c.scope = []map[string]*local{{}}
+	t := c.expr(x)
+	var walk func(x expr)
+	walk = func(x expr) {
+		switch x := x.(type) {
+		case *litExpr:
+		case *nameExpr:
+			if _, ok := x.ref.(*constDecl); !ok && x.ref != nil {
+				c.fail(x.pos, "%s can only use literals and constants", what)
+			}
+		case *listExpr:
+			for _, e := range x.elems {
+				walk(e)
+			}
+		case *mapExpr:
+			for i := range x.keys {
+				walk(x.keys[i])
+				walk(x.values[i])
+			}
+		case *unaryExpr:
+			walk(x.x)
+		case *binaryExpr:
+			walk(x.x)
+			walk(x.y)
+		default:
+			c.fail(x.at(), "%s can only use literals and constants", what)
+		}
+	}
+	walk(x)
+	c.scope = nil
+	return t
+}
+
+func (c *checker) function(d *fnDecl) {
+	c.fn, c.hook, c.locals, c.loops = d, nil, 0, 0
+	c.scope = []map[string]*local{{}}
+	for _, p := range d.params {
+		v := c.bind(p.name, p.pos, p.ty)
+		v.used = true
+		d.locals = append(d.locals, v)
+	}
+	c.block(d.body)
+	if d.result.kind != kNone && !ends(d.body) {
+		c.fail(d.body.end, "%s can end here without its %v", d.name, d.result)
+	}
+	c.fn, c.scope = nil, nil
+}
+
+func (c *checker) hookBody(d *hookDecl) {
+	c.hook, c.locals, c.loops = d, 0, 0
+	c.scope = []map[string]*local{{}}
+	c.block(d.body)
+	c.hook, c.scope = nil, nil
+}
+
+// ends tells whether a block returns or fails on every way through it.
+func ends(b *block) bool {
+	for _, s := range b.stmts {
+		switch s := s.(type) {
+		case *returnStmt, *failStmt:
+			return true
+		case *block:
+			if ends(s) {
+				return true
+			}
+		case *ifStmt:
+			if ends(s.then) && s.els != nil && ends(&block{stmts: []stmt{s.els}}) {
+				return true
+			}
+		case *matchStmt:
+			all, other := true, false
+			for _, a := range s.arms {
+				all = all && ends(a.body)
+				other = other || len(a.values) == 0
+			}
+			if all && other {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *checker) bind(name string, pos Pos, t Type) *local {
+	for _, s := range c.scope {
+		if o, ok := s[name]; ok {
+			c.fail(pos, "%s is bound on line %d already", name, o.pos.Line)
+		}
+	}
+	if p, ok := c.all[name]; ok {
+		c.fail(pos, "%s is declared on line %d already", name, p.Line)
+	}
+	v := &local{name: name, pos: pos, ty: t}
+	c.scope[len(c.scope)-1][name] = v
+	if c.locals++; c.locals > maxLocals {
+		c.fail(pos, "more than %d values in one function", maxLocals)
+	}
+	return v
+}
+
+func (c *checker) block(b *block) {
+	c.scope = append(c.scope, map[string]*local{})
+	stopped := false
+	for _, s := range b.stmts {
+		if stopped {
+			c.warn(s.at(), "this is never reached")
+			stopped = false
+		}
+		c.stmt(s)
+		switch s.(type) {
+		case *returnStmt, *failStmt, *breakStmt:
+			stopped = true
+		}
+	}
+	for _, v := range c.scope[len(c.scope)-1] {
+		if !v.used && !strings.HasPrefix(v.name, "_") {
+			c.warn(v.pos, "%s is never used", v.name)
+		}
+	}
+	c.scope = c.scope[:len(c.scope)-1]
+}
+
+func (c *checker) want(x expr, t Type, what string) {
+	if got := c.expr(x); got.kind != kNone && !got.is(t) {
+		c.fail(x.at(), "%s is %v, not %v", what, got, t)
+	}
+}
+
+func (c *checker) stmt(s stmt) {
+	switch s := s.(type) {
+	case *block:
+		c.block(s)
+	case *letStmt:
+		t := c.expr(s.x)
+		if t.kind == kNone && !c.failed() {
+			c.fail(s.x.at(), "this has no value")
+		}
+		s.v = c.bind(s.name, s.pos, t)
+	case *assignStmt:
+		c.assign(s)
+	case *ifStmt:
+		c.want(s.cond, tyBool, "the condition")
+		c.block(s.then)
+		if s.els != nil {
+			c.stmt(s.els)
+		}
+	case *forStmt:
+		var t Type
+		if s.to != nil {
+			c.want(s.from, tyInt, "the begin of the range")
+			c.want(s.to, tyInt, "the end of the range")
+			t = tyInt
+		} else {
+			l := c.expr(s.from)
+			if l.kind == kList && l.elem != nil {
+				t = *l.elem
+			} else if l.kind != kNone {
+				c.fail(s.from.at(), "a loop goes over a range or a list, not over %v", l)
+			}
+		}
+		c.scope = append(c.scope, map[string]*local{})
+		s.v = c.bind(s.name, s.pos, t)
+		s.v.fix, s.v.used = true, true
+		c.loops++
+		c.block(s.body)
+		c.loops--
+		c.scope = c.scope[:len(c.scope)-1]
+	case *matchStmt:
+		c.match(s)
+	case *returnStmt:
+		switch {
+		case c.fn == nil && s.x != nil:
+			c.fail(s.pos, "a hook returns nothing")
+			c.expr(s.x)
+		case c.fn != nil && s.x == nil && c.fn.result.kind != kNone:
+			c.fail(s.pos, "%s returns %v", c.fn.name, c.fn.result)
+		case c.fn != nil && s.x != nil && c.fn.result.kind == kNone:
+			c.fail(s.pos, "%s returns nothing", c.fn.name)
+		case s.x != nil:
+			c.want(s.x, c.fn.result, "what is returned")
+		}
+	case *breakStmt:
+		if c.loops == 0 {
+			c.fail(s.pos, "there is no loop around this")
+		}
+	case *failStmt:
+		c.want(s.x, tyString, "the reason")
+	case *exprStmt:
+		if _, call := s.x.(*callExpr); !call {
+			c.fail(s.pos, "this does nothing; a statement is a call, an assignment, let, if, for, match, return, break, continue or fail")
+		}
+		c.expr(s.x)
+	}
+}
+
+func (c *checker) failed() bool { return len(c.errs) > 0 }
+
+func (c *checker) assign(s *assignStmt) {
+	switch to := s.to.(type) {
+	case *nameExpr:
+		t := c.expr(to)
+		switch r := to.ref.(type) {
+		case *local:
+			if r.fix {
+				c.fail(s.pos, "%s belongs to the loop and cannot be assigned", to.name)
+			}
+		case *varDecl:
+			if c.fn != nil || c.hook != nil && c.hook.hook != Every && c.hook.hook != ListChange {
+				c.fail(s.pos, "a variable is set in every and list_change hooks only; use rate, top or counter between calls")
+			}
+		case *constDecl:
+			c.fail(s.pos, "%s is a constant", to.name)
+		}
+		c.want(s.x, t, "the assigned value")
+	case *indexExpr:
+		t := c.expr(to)
+		if constRoot(to.x) {
+			c.fail(s.pos, "this is part of a constant")
+		}
+		c.want(s.x, t, "the assigned value")
+	default:
+		c.fail(s.pos, "only a name or an element can be assigned")
+		c.expr(s.x)
+	}
+}
+
+func (c *checker) match(s *matchStmt) {
+	t := c.expr(s.x)
+	switch t.kind {
+	case kInt, kString, kDuration, kNone, kBool:
+	default:
+		c.fail(s.x.at(), "match looks at an int, bool, duration or string, not at %v", t)
+	}
+	if len(s.arms) == 0 {
+		c.fail(s.pos, "this match has no arms")
+	}
+	for i, a := range s.arms {
+		if len(a.values) == 0 && i < len(s.arms)-1 {
+			c.fail(a.pos, "else belongs last")
+		}
+		for j, v := range a.values {
+			got := c.expr(v)
+			if a.tops[j] != nil {
+				c.want(a.tops[j], t, "the end of the range")
+				if t.kind != kInt && t.kind != kDuration && t.kind != kNone {
+					c.fail(v.at(), "a range of %v cannot be", t)
+				}
+			}
+			if t.kind == kString && got.kind == kPattern {
+				continue
+			}
+			if got.kind != kNone && !got.is(t) {
+				c.fail(v.at(), "this is %v, the matched value %v", got, t)
+			}
+		}
+		c.block(a.body)
+	}
+}
+
+func (c *checker) expr(x expr) Type {
+	switch x := x.(type) {
+	case *litExpr:
+		switch x.tok.kind {
+		case tInt:
+			x.ty = tyInt
+		case tFloat:
+			x.ty = tyFloat
+		case tString:
+			x.ty = tyString
+		case tDuration:
+			x.ty = tyDuration
+		case tPattern:
+			x.ty = tyPattern
+		default:
+			x.ty = tyBool
+		}
+	case *nameExpr:
+		x.ty = c.name(x)
+	case *fieldExpr:
+		x.ty = c.field(x)
+	case *unaryExpr:
+		t := c.expr(x.x)
+		switch {
+		case t.kind == kNone:
+		case x.op == "not" && t.kind != kBool, x.op == "-" && t.kind != kInt && t.kind != kFloat && t.kind != kDuration:
+			c.fail(x.pos, "%s cannot be used on %v", x.op, t)
+		default:
+			x.ty = t
+		}
+	case *binaryExpr:
+		x.ty = c.binary(x)
+	case *indexExpr:
+		t := c.expr(x.x)
+		switch t.kind {
+		case kList:
+			c.want(x.i, tyInt, "the index")
+		case kMap:
+			c.want(x.i, tyString, "the key")
+		default:
+			if t.kind != kNone {
+				c.fail(x.pos, "%v has no elements", t)
+			}
+			c.expr(x.i)
+			return x.ty
+		}
+		if t.elem != nil {
+			x.ty = *t.elem
+		}
+	case *listExpr:
+		var e Type
+		for i, y := range x.elems {
+			t := c.expr(y)
+			if i == 0 {
+				e = t
+			} else if t.kind != kNone && !t.is(e) {
+				c.fail(y.at(), "an element of %v in a list of %v", t, e)
+			}
+		}
+		if len(x.elems) == 0 {
+			c.fail(x.pos, "an empty list has no type; begin with one element")
+		}
+		if len(x.elems) > maxList {
+			c.fail(x.pos, "a list of %d elements; %d can be", len(x.elems), maxList)
+		}
+		x.ty = listOf(e)
+	case *mapExpr:
+		var e Type
+		for i := range x.keys {
+			c.want(x.keys[i], tyString, "a key")
+			t := c.expr(x.values[i])
+			if i == 0 {
+				e = t
+			} else if t.kind != kNone && !t.is(e) {
+				c.fail(x.values[i].at(), "a value of %v in a map of %v", t, e)
+			}
+		}
+		if len(x.keys) == 0 {
+			c.fail(x.pos, "an empty map has no type; begin with one element")
+		}
+		x.ty = mapOf(e)
+	case *callExpr:
+		x.ty = c.call(x)
+	}
+	return x.typ()
+}
+
+func (c *checker) name(x *nameExpr) Type {
+	for i := len(c.scope) - 1; i >= 0; i-- {
+		if v, ok := c.scope[i][x.name]; ok {
+			v.used = true
+			x.ref = v
+			return v.ty
+		}
+	}
+	if d, ok := c.consts[x.name]; ok {
+		if d.ty.kind == kNone && !c.failed() {
+			c.fail(x.pos, "%s is declared further down, on line %d", x.name, d.pos.Line)
+		}
+		d.used = true
+		x.ref = d
+		return d.ty
+	}
+	if d, ok := c.vars[x.name]; ok {
+		d.used = true
+		x.ref = d
+		return d.ty
+	}
+	var known []string
+	for _, s := range c.scope {
+		known = append(known, slices.Collect(maps.Keys(s))...)
+	}
+	known = append(append(known, slices.Collect(maps.Keys(c.consts))...), slices.Collect(maps.Keys(c.vars))...)
+	slices.Sort(known)
+	c.fail(x.pos, "%s is not known here%s", x.name, near(x.name, known))
+	return tyNone
+}
+
+func (c *checker) field(x *fieldExpr) Type {
+	if c.hook == nil {
+		c.fail(x.pos, "%s.%s can only be read in a hook; hand it to the function", x.object, x.name)
+		return tyNone
+	}
+	var names, objects []string
+	for _, f := range hookFields[c.hook.hook] {
+		if f.object == x.object && f.name == x.name {
+			x.slot = f.slot
+			return f.ty
+		}
+		objects = append(objects, f.object)
+		if f.object == x.object {
+			names = append(names, f.name)
+		}
+	}
+	if len(names) == 0 {
+		c.fail(x.pos, "%s is nothing that %s has%s", x.object, c.hook.hook, near(x.object, objects))
+	} else {
+		c.fail(x.pos, "%s has no %s%s", x.object, x.name, near(x.name, names))
+	}
+	return tyNone
+}
+
+func (c *checker) binary(x *binaryExpr) Type {
+	a, b := c.expr(x.x), c.expr(x.y)
+	if a.kind == kNone || b.kind == kNone {
+		switch x.op {
+		case "==", "!=", "<", "<=", ">", ">=", "in", "matches", "and", "or":
+			return tyBool
+		}
+		return tyNone
+	}
+	same := a.is(b)
+	num := a.kind == kInt || a.kind == kFloat || a.kind == kDuration
+	switch x.op {
+	case "and", "or":
+		if a.kind == kBool && b.kind == kBool {
+			return tyBool
+		}
+	case "==", "!=":
+		if same && (num || a.kind == kBool || a.kind == kString) {
+			return tyBool
+		}
+	case "<", "<=", ">", ">=":
+		if same && (num || a.kind == kString) {
+			return tyBool
+		}
+	case "matches":
+		if a.kind == kString && b.kind == kPattern {
+			return tyBool
+		}
+	case "in":
+		if b.kind == kMap && a.kind == kString || b.kind == kList && b.elem != nil && a.is(*b.elem) && (num || a.kind == kString || a.kind == kBool) {
+			return tyBool
+		}
+	case "+":
+		if same && (num || a.kind == kString) {
+			return a
+		}
+	case "-":
+		if same && num {
+			return a
+		}
+	case "*":
+		if same && (a.kind == kInt || a.kind == kFloat) || a.kind == kDuration && b.kind == kInt {
+			return a
+		}
+	case "/":
+		if same && (a.kind == kInt || a.kind == kFloat) || a.kind == kDuration && b.kind == kInt {
+			return a
+		}
+		if a.kind == kDuration && b.kind == kDuration {
+			return tyInt
+		}
+	case "%":
+		if same && a.kind == kInt {
+			return a
+		}
+	}
+	hint := ""
+	if a.kind == kInt && b.kind == kFloat || a.kind == kFloat && b.kind == kInt {
+		hint = "; float() makes the int one"
+	}
+	c.fail(x.pos, "%v %s %v cannot be%s", a, x.op, b, hint)
+	return tyNone
+}
+
+func (c *checker) call(x *callExpr) Type {
+	if x.object != "" {
+		return c.method(x)
+	}
+	if d, ok := c.fns[x.name]; ok {
+		x.fn = d
+		d.used = true
+		if c.fn != nil {
+			c.fn.calls[d] = x.pos
+		} else if c.hook != nil {
+			c.hook.calls[d] = x.pos
+		}
+		if len(x.args) != len(d.params) {
+			c.fail(x.pos, "%s takes %d arguments, not %d", x.name, len(d.params), len(x.args))
+		}
+		for i, a := range x.args {
+			if i < len(d.params) {
+				c.want(a, d.params[i].ty, d.params[i].name)
+			} else {
+				c.expr(a)
+			}
+		}
+		return d.result
+	}
+	known := slices.Collect(maps.Keys(c.fns))
+	for _, b := range builtins {
+		if b.object != "" {
+			continue
+		}
+		known = append(known, b.name)
+		if b.name == x.name {
+			return c.builtin(x, b)
+		}
+	}
+	slices.Sort(known)
+	c.fail(x.pos, "there is no function %s%s", x.name, near(x.name, known))
+	for _, a := range x.args {
+		c.expr(a)
+	}
+	return tyNone
+}
+
+func (c *checker) method(x *callExpr) Type {
+	d, ok := c.states[x.object]
+	if !ok {
+		c.fail(x.pos, "there is no rate, top or counter %s%s", x.object, near(x.object, slices.Sorted(maps.Keys(c.states))))
+		return tyNone
+	}
+	d.used = true
+	x.state = d
+	var known []string
+	for _, b := range builtins {
+		if b.object == d.what {
+			if b.name == x.name {
+				return c.builtin(x, b)
+			}
+			known = append(known, b.name)
+		}
+	}
+	c.fail(x.pos, "a %s has no %s; %s can be", d.what, x.name, strings.Join(known, ", "))
+	return tyNone
+}
+
+func (c *checker) builtin(x *callExpr, b *builtin) Type {
+	x.built = b
+	if len(b.hooks) > 0 && (c.hook == nil || !slices.Contains(b.hooks, c.hook.hook)) {
+		c.fail(x.pos, "%s can only be used in %s hooks", b.name, strings.Join(b.hooks, " and "))
+	}
+	if len(x.args) != len(b.args) {
+		c.fail(x.pos, "%s takes %d arguments, not %d", b.name, len(b.args), len(x.args))
+	}
+	var types []Type
+	for i, a := range x.args {
+		t := c.expr(a)
+		types = append(types, t)
+		if i >= len(b.args) || t.kind == kNone {
+			continue
+		}
+		w := b.args[i]
+		if w.kind == kNone || (w.kind == kList || w.kind == kMap) && w.elem == nil && t.kind == w.kind {
+			continue
+		}
+		if !t.is(w) {
+			c.fail(a.at(), "%s takes %v, not %v", b.name, w, t)
+		}
+	}
+	if len(types) != len(b.args) {
+		return b.result
+	}
+	switch b.op {
+	case opLen:
+		if t := types[0].kind; t != kString && t != kList && t != kMap && t != kNone {
+			c.fail(x.pos, "%v has no length", types[0])
+		}
+	case opAppend:
+		if l := types[0]; l.elem != nil && types[1].kind != kNone && !types[1].is(*l.elem) {
+			c.fail(x.pos, "an element of %v in a list of %v", types[1], *l.elem)
+		}
+		if constRoot(x.args[0]) {
+			c.fail(x.pos, "this is part of a constant")
+		}
+	case opText, opLog:
+		if t := types[len(types)-1]; t.kind >= kPattern {
+			c.fail(x.pos, "%v has no text", t)
+		}
+	case opTreat, opRefuse:
+		if l, ok := x.args[0].(*litExpr); ok {
+			if b.op == opTreat && !Treatable(l.tok.i) || b.op == opRefuse && (l.tok.i < 1 || l.tok.i > 127) {
+				c.fail(l.pos, "%s(%d) cannot be", b.name, l.tok.i)
+			}
+		}
+	}
+	return b.result
+}
+
+// Treatable tells whether an attempt's cause may be read as this one: busy, no circuit, temporary failure, congestion.
+func Treatable(cause int64) bool { return cause == 17 || cause == 34 || cause == 41 || cause == 42 }
+
+// recursion finds functions that call themselves, and chains that are too long.
+func (c *checker) recursion() {
+	depth := map[*fnDecl]int{}
+	const busy = -1
+	var walk func(d *fnDecl) int
+	walk = func(d *fnDecl) int {
+		if k, seen := depth[d]; seen {
+			if k == busy {
+				c.fail(d.pos, "%s calls itself, straight or by others; that cannot be", d.name)
+				return 0
+			}
+			return k
+		}
+		depth[d] = busy
+		most := 0
+		for _, e := range sortedCalls(d.calls) {
+			most = max(most, walk(e))
+		}
+		depth[d] = most + 1
+		if depth[d] == maxCallDepth+1 {
+			c.fail(d.pos, "functions call functions deeper than %d", maxCallDepth)
+		}
+		return depth[d]
+	}
+	for _, d := range c.f.decls {
+		if f, ok := d.(*fnDecl); ok {
+			walk(f)
+		}
+	}
+}
+
+func sortedCalls(m map[*fnDecl]Pos) []*fnDecl {
+	return slices.SortedFunc(maps.Keys(m), func(a, b *fnDecl) int { return a.index - b.index })
+}
--- /dev/null
+++ b/script/parse.go
@@ -0,0 +1,511 @@
+package script
+
+import (
+	"fmt"
+	"time"
+)
+
+// maxNesting bounds how deep blocks and expressions may nest, in the parser and in all that walks the tree after it.
+const maxNesting = 64
+
+type parser struct {
+	name  string
+	toks  []token
+	at    int
+	errs  Errors
+	depth int
+	file  *file
+}
+
+// bail ends the parsing of one declaration.
+type bail struct{}
+
+func parse(name, src string) (*file, Errors) {
+	toks, errs := lex(name, src)
+	p := &parser{name: name, errs: errs, file: &file{name: name}}
+	for _, t := range toks {
+		if t.kind == tComment {
+			p.file.comments = append(p.file.comments, t)
+		} else {
+			p.toks = append(p.toks, t)
+		}
+	}
+	if len(p.toks) == 0 {
+		return p.file, p.errs
+	}
+	for p.skip(); p.peek().kind != tEOF && len(p.errs) < maxErrors; p.skip() {
+		p.guarded(func() { p.file.decls = append(p.file.decls, p.decl()) })
+	}
+	return p.file, p.errs
+}
+
+// guarded parses one declaration; after a fault it goes on with the next line that can begin one.
+func (p *parser) guarded(f func()) {
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case bail:
+			p.depth = 0
+			for p.peek().kind != tEOF {
+				if t := p.peek(); t.pos.Column == 1 {
+					switch t.text {
+					case "const", "var", "rate", "top", "counter", "fn", "on", "every", "@":
+						return
+					}
+				}
+				p.at++
+			}
+		default:
+			panic(r)
+		}
+	}()
+	f()
+}
+
+func (p *parser) peek() token { return p.toks[min(p.at, len(p.toks)-1)] }
+
+func (p *parser) next() token {
+	t := p.peek()
+	p.at++
+	return t
+}
+
+func (p *parser) fail(pos Pos, format string, args ...any) {
+	p.errs = append(p.errs, &Error{p.name, pos, fmt.Sprintf(format, args...)})
+	panic(bail{})
+}
+
+// skip passes over empty lines.
+func (p *parser) skip() {
+	for p.peek().kind == tNewline {
+		p.at++
+	}
+}
+
+func (p *parser) is(text string) bool {
+	t := p.peek()
+	return (t.kind == tPunct || t.kind == tName) && t.text == text
+}
+
+func (p *parser) accept(text string) bool {
+	if p.is(text) {
+		p.at++
+		return true
+	}
+	return false
+}
+
+func (p *parser) expect(text, where string) token {
+	if !p.is(text) {
+		p.fail(p.peek().pos, "%s instead of %q %s", p.peek(), text, where)
+	}
+	return p.next()
+}
+
+func (p *parser) ident(what string) token {
+	t := p.next()
+	if t.kind != tName || keywords[t.text] {
+		if t.kind == tName {
+			p.fail(t.pos, "%q is a word of the language and cannot be the name of %s", t.text, what)
+		}
+		p.fail(t.pos, "%s instead of the name of %s", t, what)
+	}
+	return t
+}
+
+func (p *parser) endLine(after string) {
+	if t := p.peek(); t.kind != tNewline && t.kind != tEOF && !p.is("}") {
+		p.fail(t.pos, "%s after %s; a line has one statement", t, after)
+	}
+}
+
+func (p *parser) decl() decl {
+	var attrs []attr
+	for p.is("@") {
+		pos := p.next().pos
+		n := p.ident("an attribute")
+		p.expect("(", "after an attribute")
+		attrs = append(attrs, attr{pos, n.text, p.next()})
+		p.expect(")", "after an attribute's value")
+		p.skip()
+	}
+	t := p.next()
+	if len(attrs) > 0 && t.text != "on" && t.text != "every" {
+		p.fail(attrs[0].pos, "an attribute belongs before a hook")
+	}
+	switch t.text {
+	case "const":
+		n := p.ident("a constant")
+		p.expect("=", "after the name")
+		d := &constDecl{pos: n.pos, name: n.text, x: p.expr()}
+		p.endLine("a constant")
+		return d
+	case "var":
+		n := p.ident("a variable")
+		p.expect("=", "after the name; a variable has a first value")
+		d := &varDecl{pos: n.pos, name: n.text, x: p.expr()}
+		p.endLine("a variable")
+		return d
+	case "rate", "top", "counter":
+		return p.state(t)
+	case "fn":
+		return p.fn()
+	case "on":
+		n := p.next()
+		return &hookDecl{pos: t.pos, attrs: attrs, hook: n.text, body: p.block()}
+	case "every":
+		n := p.next()
+		if n.kind != tDuration {
+			p.fail(n.pos, "%s instead of a duration after every", n)
+		}
+		return &hookDecl{pos: t.pos, attrs: attrs, hook: "every", every: time.Duration(n.i), body: p.block()}
+	}
+	p.fail(t.pos, "%s begins no declaration; const, var, rate, top, counter, fn, on and every do", t)
+	return nil
+}
+
+func (p *parser) state(t token) decl {
+	n := p.ident("a " + t.text)
+	d := &stateDecl{pos: n.pos, what: t.text, name: n.text, keys: 1000, window: 10 * time.Second}
+	if t.text != "counter" {
+		p.expect("(", "after the name")
+		for !p.is(")") {
+			o := p.next()
+			v := p.next()
+			switch {
+			case o.text == "keys" && v.kind == tInt:
+				if v.i < 1 || v.i > 1<<16 {
+					p.fail(v.pos, "%d keys; 1 to %d can be", v.i, 1<<16)
+				}
+				d.keys = int(v.i)
+			case o.text == "window" && v.kind == tDuration && t.text == "rate":
+				if v.i < int64(time.Second) || v.i > int64(time.Hour) {
+					p.fail(v.pos, "a window of %v; 1s to 1h can be", time.Duration(v.i))
+				}
+				d.window = time.Duration(v.i)
+			default:
+				p.fail(o.pos, "%s is nothing that a %s can have; keys N%s can be", o, t.text, map[bool]string{true: " and window DURATION"}[t.text == "rate"])
+			}
+			if !p.accept(",") {
+				break
+			}
+		}
+		p.expect(")", "at the end")
+	}
+	p.endLine("a " + t.text)
+	return d
+}
+
+func (p *parser) typ() Type {
+	t := p.next()
+	switch t.text {
+	case "int":
+		return tyInt
+	case "float":
+		return tyFloat
+	case "bool":
+		return tyBool
+	case "duration":
+		return tyDuration
+	case "string":
+		return tyString
+	case "pattern":
+		return tyPattern
+	case "list", "map":
+		p.enter(t.pos)
+		defer p.leave()
+		p.expect("[", "after "+t.text)
+		e := p.typ()
+		p.expect("]", "after the type of the elements")
+		if t.text == "list" {
+			return listOf(e)
+		}
+		return mapOf(e)
+	}
+	p.fail(t.pos, "%s is no type; int, float, bool, duration, string, pattern, list[T] and map[T] are", t)
+	return tyNone
+}
+
+func (p *parser) fn() decl {
+	n := p.ident("a function")
+	d := &fnDecl{pos: n.pos, name: n.text}
+	p.expect("(", "after the name")
+	for !p.is(")") {
+		a := p.ident("a parameter")
+		p.expect(":", "after the parameter; its type follows")
+		d.params = append(d.params, param{a.pos, a.text, p.typ()})
+		if !p.accept(",") {
+			break
+		}
+	}
+	p.expect(")", "after the parameters")
+	if !p.is("{") {
+		d.result = p.typ()
+	}
+	d.body = p.block()
+	return d
+}
+
+func (p *parser) enter(pos Pos) {
+	if p.depth++; p.depth > maxNesting {
+		p.fail(pos, "nested deeper than %d", maxNesting)
+	}
+}
+
+func (p *parser) leave() { p.depth-- }
+
+func (p *parser) block() *block {
+	t := p.expect("{", "to begin a block")
+	p.enter(t.pos)
+	defer p.leave()
+	b := &block{pos: t.pos}
+	for p.skip(); !p.is("}"); p.skip() {
+		if p.peek().kind == tEOF {
+			p.fail(t.pos, "this block has no end")
+		}
+		b.stmts = append(b.stmts, p.stmt())
+	}
+	b.end = p.next().pos
+	return b
+}
+
+func (p *parser) stmt() stmt {
+	t := p.peek()
+	if t.kind == tName {
+		switch t.text {
+		case "let":
+			p.next()
+			n := p.ident("a value")
+			p.expect("=", "after the name")
+			s := &letStmt{pos: n.pos, name: n.text, x: p.expr()}
+			p.endLine("let")
+			return s
+		case "if":
+			return p.ifStmt()
+		case "for":
+			p.next()
+			n := p.ident("the loop's value")
+			p.expect("in", "after the loop's value")
+			s := &forStmt{pos: n.pos, name: n.text, from: p.expr()}
+			if p.accept("..") {
+				s.to = p.expr()
+			}
+			s.body = p.block()
+			return s
+		case "match":
+			return p.matchStmt()
+		case "return":
+			p.next()
+			s := &returnStmt{pos: t.pos}
+			if k := p.peek(); k.kind != tNewline && !p.is("}") {
+				s.x = p.expr()
+			}
+			p.endLine("return")
+			return s
+		case "break", "continue":
+			p.next()
+			p.endLine(t.text)
+			return &breakStmt{t.pos, t.text == "continue"}
+		case "fail":
+			p.next()
+			s := &failStmt{t.pos, p.expr()}
+			p.endLine("fail")
+			return s
+		}
+	}
+	x := p.expr()
+	if p.accept("=") {
+		s := &assignStmt{pos: t.pos, to: x, x: p.expr()}
+		p.endLine("an assignment")
+		return s
+	}
+	p.endLine("a statement")
+	return &exprStmt{t.pos, x}
+}
+
+func (p *parser) ifStmt() stmt {
+	t := p.expect("if", "")
+	p.enter(t.pos)
+	defer p.leave()
+	s := &ifStmt{pos: t.pos, cond: p.expr()}
+	s.then = p.block()
+	if p.accept("else") {
+		if p.is("if") {
+			s.els = p.ifStmt()
+		} else {
+			s.els = p.block()
+		}
+	}
+	return s
+}
+
+func (p *parser) matchStmt() stmt {
+	t := p.next()
+	s := &matchStmt{pos: t.pos, x: p.expr()}
+	p.expect("{", "after the matched value")
+	p.enter(t.pos)
+	defer p.leave()
+	for p.skip(); !p.is("}"); p.skip() {
+		if p.peek().kind == tEOF {
+			p.fail(t.pos, "this match has no end")
+		}
+		a := arm{pos: p.peek().pos}
+		if !p.accept("else") {
+			for {
+				a.values = append(a.values, p.expr())
+				var top expr
+				if p.accept("..") {
+					top = p.expr()
+				}
+				a.tops = append(a.tops, top)
+				if !p.accept(",") {
+					break
+				}
+				p.skip()
+			}
+		}
+		p.expect("->", "after what is matched")
+		if p.is("{") {
+			a.body = p.block()
+		} else {
+			st := p.stmt()
+			a.body = &block{pos: st.at(), end: st.at(), stmts: []stmt{st}}
+		}
+		s.arms = append(s.arms, a)
+	}
+	p.next()
+	return s
+}
+
+// levels are the binary operators, the loosest first.
+var levels = [][]string{{"or"}, {"and"}, {"==", "!=", "<", "<=", ">", ">=", "in", "matches"}, {"+", "-"}, {"*", "/", "%"}}
+
+func (p *parser) expr() expr { return p.binary(0) }
+
+func (p *parser) binary(level int) expr {
+	if level == len(levels) {
+		return p.unary()
+	}
+	if level == 0 {
+		p.enter(p.peek().pos)
+		defer p.leave()
+	}
+	if t := p.peek(); level == 2 && p.accept("not") { // looser than comparisons: not a == b
+		p.enter(t.pos)
+		defer p.leave()
+		return &unaryExpr{typed: typed{pos: t.pos}, op: "not", x: p.binary(2)}
+	}
+	x := p.binary(level + 1)
+	for n := 0; ; n++ {
+		op := ""
+		for _, o := range levels[level] {
+			if p.is(o) {
+				op = o
+			}
+		}
+		if op == "" {
+			return x
+		}
+		if n == maxNesting {
+			p.fail(p.peek().pos, "more than %d operators in a row", maxNesting)
+		}
+		t := p.next()
+		p.skip() // a line may end after an operator
+		x = &binaryExpr{typed: typed{pos: t.pos}, op: op, x: x, y: p.binary(level + 1)}
+	}
+}
+
+func (p *parser) unary() expr {
+	if t := p.peek(); p.accept("-") {
+		p.enter(t.pos)
+		defer p.leave()
+		return &unaryExpr{typed: typed{pos: t.pos}, op: "-", x: p.unary()}
+	}
+	x := p.primary()
+	for n := 0; p.is("["); n++ {
+		t := p.next()
+		if n == maxNesting {
+			p.fail(t.pos, "more than %d indexes in a row", maxNesting)
+		}
+		i := p.expr()
+		p.expect("]", "after an index")
+		x = &indexExpr{typed: typed{pos: t.pos}, x: x, i: i}
+	}
+	return x
+}
+
+func (p *parser) args() []expr {
+	var out []expr
+	for p.skip(); !p.is(")"); p.skip() {
+		out = append(out, p.expr())
+		p.skip()
+		if !p.accept(",") {
+			break
+		}
+	}
+	p.expect(")", "after the arguments")
+	return out
+}
+
+func (p *parser) primary() expr {
+	t := p.next()
+	switch t.kind {
+	case tInt, tFloat, tString, tDuration, tPattern:
+		return &litExpr{typed{pos: t.pos}, t}
+	case tName:
+		if t.text == "true" || t.text == "false" {
+			return &litExpr{typed{pos: t.pos}, t}
+		}
+		// A type's name is its conversion too; rate, top and counter are only words at the beginning of a line.
+		if keywords[t.text] {
+			p.fail(t.pos, "%s is no value", t)
+		}
+		if p.accept("(") {
+			return &callExpr{typed: typed{pos: t.pos}, name: t.text, args: p.args()}
+		}
+		if p.accept(".") {
+			n := p.next()
+			if n.kind != tName {
+				p.fail(n.pos, "%s instead of a field or method of %s", n, t.text)
+			}
+			if p.accept("(") {
+				return &callExpr{typed: typed{pos: t.pos}, object: t.text, name: n.text, args: p.args()}
+			}
+			return &fieldExpr{typed: typed{pos: t.pos}, object: t.text, name: n.text}
+		}
+		return &nameExpr{typed: typed{pos: t.pos}, name: t.text}
+	case tPunct:
+		switch t.text {
+		case "(":
+			x := p.expr()
+			p.expect(")", "to close the bracket")
+			return x
+		case "[":
+			l := &listExpr{typed: typed{pos: t.pos}}
+			for p.skip(); !p.is("]"); p.skip() {
+				l.elems = append(l.elems, p.expr())
+				p.skip()
+				if !p.accept(",") {
+					break
+				}
+			}
+			p.expect("]", "at the end of a list")
+			return l
+		case "{":
+			m := &mapExpr{typed: typed{pos: t.pos}}
+			for p.skip(); !p.is("}"); p.skip() {
+				m.keys = append(m.keys, p.expr())
+				p.expect(":", "after a key")
+				m.values = append(m.values, p.expr())
+				p.skip()
+				if !p.accept(",") {
+					break
+				}
+			}
+			p.expect("}", "at the end of a map")
+			return m
+		}
+	}
+	p.fail(t.pos, "%s is no value", t)
+	return nil
+}
--- /dev/null
+++ b/script/state.go
@@ -0,0 +1,275 @@
+package script
+
+import (
+	"container/heap"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what a program keeps between calls: its variables, rates, tops and counters, each of a bounded size. It is safe
+// for concurrent use.
+type State struct {
+	vars   atomic.Pointer[varSet]
+	mu     sync.Mutex // of writers of vars
+	rates  []*Rates
+	tops   []*Top
+	counts []*atomic.Int64
+}
+
+// varSet is the variables at one instant; it does not change.
+type varSet struct {
+	n []int64
+	s []string
+}
+
+// with is the set with one change.
+func (v *varSet) with(c change) *varSet {
+	w := &varSet{slices.Clone(v.n), slices.Clone(v.s)}
+	w.n[c.slot], w.s[c.slot] = c.n, c.s
+	return w
+}
+
+// NewState makes the state of a program, with its first values. With from, the state of an earlier version, what is
+// declared alike goes on: rates, tops and counters of the same name and size, and variables of the same name and kind.
+func (p *Program) NewState(from *State, earlier *Program) *State {
+	st := &State{}
+	v := &varSet{slices.Clone(p.varN), slices.Clone(p.varR)}
+	if from != nil && earlier != nil {
+		old := from.vars.Load()
+		for i, name := range p.varNames {
+			if j := slices.Index(earlier.varNames, name); j >= 0 && earlier.varWide[j] == p.varWide[i] {
+				v.n[i], v.s[i] = old.n[j], old.s[j]
+			}
+		}
+	}
+	st.vars.Store(v)
+	for _, d := range p.states {
+		st.rates, st.tops, st.counts = append(st.rates, nil), append(st.tops, nil), append(st.counts, nil)
+		i := len(st.rates) - 1
+		j := -1
+		if from != nil && earlier != nil {
+			j = slices.IndexFunc(earlier.states, func(e *stateDecl) bool {
+				return e.name == d.name && e.what == d.what && e.keys == d.keys && e.window == d.window
+			})
+		}
+		switch {
+		case j >= 0:
+			st.rates[i], st.tops[i], st.counts[i] = from.rates[j], from.tops[j], from.counts[j]
+		case d.what == "rate":
+			st.rates[i] = NewRates(d.window, d.keys)
+		case d.what == "top":
+			st.tops[i] = NewTop(d.keys)
+		default:
+			st.counts[i] = &atomic.Int64{}
+		}
+	}
+	return st
+}
+
+func (st *State) setVars(_ *Program, changes []change) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	v := st.vars.Load()
+	w := &varSet{slices.Clone(v.n), slices.Clone(v.s)}
+	for _, c := range changes {
+		w.n[c.slot], w.s[c.slot] = c.n, c.s
+	}
+	st.vars.Store(w)
+}
+
+// Vars are the variables by name, as text, for operators.
+func (p *Program) Vars(st *State) map[string]any {
+	out := map[string]any{}
+	v := st.vars.Load()
+	for i, name := range p.varNames {
+		if p.varWide[i] {
+			out[name] = v.s[i]
+		} else {
+			out[name] = v.n[i]
+		}
+	}
+	return out
+}
+
+// Rates counts events by key over a sliding window, for a bounded number of keys: a table of sets of eight entries, where a
+// new key takes the place of the slowest of its set. The rate is that of the present half window and, in proportion, of
+// the one before, so an entry is 24 octets whatever the rate.
+type Rates struct {
+	half time.Duration
+	mu   sync.Mutex
+	sets [][ways]rateEntry
+	mask uint64
+}
+
+const ways = 8
+
+type rateEntry struct {
+	hash      uint64
+	epoch     uint32
+	now, last uint32
+}
+
+// NewRates makes a Rates for at least the given number of keys.
+func NewRates(window time.Duration, keys int) *Rates {
+	n := 1
+	for n*ways < keys {
+		n *= 2
+	}
+	return &Rates{half: max(window/2, time.Millisecond), sets: make([][ways]rateEntry, n), mask: uint64(n - 1)}
+}
+
+// roll brings an entry to an epoch.
+func (e *rateEntry) roll(epoch uint32) {
+	switch epoch - e.epoch {
+	case 0:
+		return
+	case 1:
+		e.last, e.now = e.now, 0
+	default:
+		e.last, e.now = 0, 0
+	}
+	e.epoch = epoch
+}
+
+func (t *Rates) add(key string, now time.Duration) {
+	h := xxhash.Sum64String(key) | 1 // 0 marks an empty entry
+	epoch := uint32(now / t.half)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	set := &t.sets[h>>8&t.mask]
+	least := &set[0]
+	for i := range set {
+		e := &set[i]
+		if e.hash == h {
+			e.roll(epoch)
+			if e.now < 1<<32-1 {
+				e.now++
+			}
+			return
+		}
+		if e.hash == 0 {
+			if least.hash != 0 {
+				least = e
+			}
+			continue
+		}
+		e.roll(epoch)
+		if least.hash != 0 && e.now+e.last < least.now+least.last {
+			least = e
+		}
+	}
+	*least = rateEntry{hash: h, epoch: epoch, now: 1}
+}
+
+func (t *Rates) perSecond(key string, now time.Duration) float64 {
+	h := xxhash.Sum64String(key) | 1
+	epoch := uint32(now / t.half)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	set := &t.sets[h>>8&t.mask]
+	for i := range set {
+		if e := &set[i]; e.hash == h {
+			e.roll(epoch)
+			part := float64(now%t.half) / float64(t.half)
+			return (float64(e.now) + float64(e.last)*(1-part)) / t.half.Seconds()
+		}
+	}
+	return 0
+}
+
+// Top counts keys and keeps the most frequent: Space-Saving (Metwally, Agrawal and El Abbadi, 2005). A kept key's count is
+// never too low, and too high by the whole count divided by the size at the most.
+type Top struct {
+	mu   sync.Mutex
+	size int
+	at   map[string]*topEntry
+	heap topHeap
+}
+
+type topEntry struct {
+	key   string
+	count int64
+	i     int
+}
+
+type topHeap []*topEntry
+
+func (h topHeap) Len() int           { return len(h) }
+func (h topHeap) Less(a, b int) bool { return h[a].count < h[b].count }
+func (h topHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a]; h[a].i, h[b].i = a, b }
+func (h *topHeap) Push(x any)        { e := x.(*topEntry); e.i = len(*h); *h = append(*h, e) }
+func (h *topHeap) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// NewTop makes a Top of a number of keys.
+func NewTop(keys int) *Top { return &Top{size: keys, at: make(map[string]*topEntry, keys)} }
+
+// maxKey bounds a key in octets; longer ones are counted by their beginning.
+const maxKey = 64
+
+// Add counts one for a key.
+func (t *Top) Add(key string) {
+	if len(key) > maxKey {
+		key = key[:maxKey]
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.at[key]; e != nil {
+		e.count++
+		heap.Fix(&t.heap, e.i)
+		return
+	}
+	if len(t.heap) < t.size {
+		e := &topEntry{key: key, count: 1}
+		t.at[key] = e
+		heap.Push(&t.heap, e)
+		return
+	}
+	e := t.heap[0]
+	delete(t.at, e.key)
+	e.key = key
+	e.count++
+	t.at[key] = e
+	heap.Fix(&t.heap, 0)
+}
+
+// Count is the count of a key, 0 if it is not kept.
+func (t *Top) Count(key string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.at[key]; e != nil {
+		return e.count
+	}
+	return 0
+}
+
+// Most are the n keys counted most, the most first; equal ones by key.
+func (t *Top) Most(n int) []string {
+	t.mu.Lock()
+	all := make([]topEntry, len(t.heap))
+	for i, e := range t.heap {
+		all[i] = *e
+	}
+	t.mu.Unlock()
+	slices.SortFunc(all, func(a, b topEntry) int {
+		if a.count != b.count {
+			return int(b.count - a.count)
+		}
+		if a.key < b.key {
+			return -1
+		}
+		return 1
+	})
+	var out []string
+	for _, e := range all[:min(n, len(all))] {
+		out = append(out, e.key)
+	}
+	return out
+}
--- a/standin/switch.go
+++ b/standin/switch.go
@@ -86,7 +86,8 @@
 	key     circuitKey
 	iam     isup.Message
 	state   swState
-	gone    bool // given up while it waited
+	gone    bool // released by its caller
+	leaving bool // ... and the own controller has yet to answer that
 	transit bool
 	line    string
 }
@@ -512,8 +513,13 @@
 		rel := clone(m)
 		s.proc.add(job{work: s.work(s.cfg.FollowWork), done: func() {
 			if s.calls[key] == c {
-				s.forget(key)
 				s.toOwn(far, &rel)
+				if c.transit && c.state != swQueued && s.own != nil { // its controller has a part in it, and answers
+					c.leaving = true
+					s.after(4*time.Second, func() { s.left(c) })
+					return
+				}
+				s.forget(key)
 			}
 			s.toFar(far, &isup.Message{Type: isup.RLC, CIC: key.cic})
 		}})
@@ -686,6 +692,14 @@
 	})
 }
 
+// left ends a call in transit that its caller has released, once the own controller knows.
+func (s *Switch) left(c *swCall) {
+	if s.calls[c.key] == c && c.leaving {
+		s.forget(c.key)
+		s.toFar(c.key.far, &isup.Message{Type: isup.RLC, CIC: c.key.cic})
+	}
+}
+
 func (s *Switch) freeLine(c *swCall) {
 	if c.line != "" {
 		s.lines[c.line]--
@@ -711,6 +725,10 @@
 		s.toOwn(far, &isup.Message{Type: isup.RLC, CIC: m.CIC})
 	case isup.CQM:
 		s.toOwn(far, s.query(far, m))
+	case isup.RLC:
+		if c != nil {
+			s.left(c)
+		}
 	case isup.ACM, isup.CPG, isup.ANM, isup.CON:
 		if c == nil || !c.transit || c.gone {
 			return
@@ -732,7 +750,7 @@
 		}
 		rel := clone(m)
 		s.proc.add(job{work: s.work(s.cfg.FollowWork), done: func() {
-			if s.calls[key] == c && !c.gone {
+			if s.calls[key] == c && !c.gone && c.state != swReleasing {
 				s.releaseAt(c, rel.Cause, rel.Location)
 			}
 		}})
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -317,10 +317,9 @@
 
 // The verdicts.
 const (
-	Taken     Verdict = iota // the far end's call has the circuit
-	Ours                     // dual seizure on a circuit that we control: it is disregarded (Q.764, 2.9.1.4)
-	Nonsense                 // the circuit does not exist
-	Duplicate                // the far end's seizure is known already
+	Taken    Verdict = iota // the far end's call has the circuit
+	Ours                    // dual seizure on a circuit that we control: it is disregarded (Q.764, 2.9.1.4)
+	Nonsense                // the circuit does not exist
 )
 
 // FarSeized takes an IAM of the far end, as the own switch passes it on.
@@ -344,8 +343,10 @@
 		g.do(Lost{c.call, cic, true, Yielded})
 		g.set(cic, Incoming, call)
 		return Taken
-	case Incoming:
-		return Duplicate
+	case Incoming: // the far end has cleared its last call there, and word of that is lost
+		g.lose(cic, WasReset)
+		g.set(cic, Incoming, call)
+		return Taken
 	default:
 		// The far end takes a circuit as idle only after it has heard the release or reset: our RLC is lost or on its way.
 		g.set(cic, Incoming, call)
@@ -445,7 +446,14 @@
 		return
 	}
 	switch m.Type {
-	case isup.REL, isup.RLC:
+	case isup.REL:
+		// The own switch answers for calls that end with it. One in transit ends here: until this RLC the far end may not
+		// take the circuit again, or an answer of ours still under way would meet its next call.
+		if c := &g.circuits[m.CIC]; c.state == Incoming && c.call != 0 || c.state == Idle {
+			g.do(ToOwn{isup.Message{Type: isup.RLC, CIC: m.CIC}})
+		}
+		g.FarReleased(m.CIC)
+	case isup.RLC:
 		g.FarReleased(m.CIC)
 	case isup.RSC:
 		g.clear(m.CIC)
