--- /dev/null
+++ b/hooks/hooks_test.go
@@ -0,0 +1,220 @@
+package hooks
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umbergauge/umbergauge/script"
+)
+
+var names = Names{Classes: []string{"map", "storm"}, Tenants: []string{"city"}}
+
+func set(t testing.TB, earlier *Set, texts ...string) *Set {
+	t.Helper()
+	var src []Source
+	for i, x := range texts {
+		src = append(src, Source{fmt.Sprintf("f%d.ug", i), x})
+	}
+	s, err := Compile(src, names, earlier)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+var call = script.CallEvent(script.Call{Called: "820112345", Calling: "9012", Class: "map", Category: 10, To: 102})
+
+func advise(s *Set, kind string, now time.Duration) Advice {
+	var a Advice
+	NewRunner().Run(s, kind, &call, now, &a)
+	return a
+}
+
+// What hooks ask for is merged: the first word stands, exclusions add up, and a hook that fails asks for nothing.
+func TestMerge(t *testing.T) {
+	s := set(t, nil,
+		"on arrival {\n\tset_class(\"storm\")\n\ttag(\"a\")\n}\non route {\n\texclude(1)\n\texclude(2)\n}\n",
+		"on arrival {\n\tset_class(\"map\")\n\tset_tenant(\"city\")\n\ttag(\"b\")\n}\non route {\n\texclude(2)\n\texclude(3)\n}\n",
+		"on arrival {\n\trefuse(21)\n\tfail \"no\"\n}\n",
+		"on arrival {\n\tset_class(\"moon\")\n}\n")
+	a := advise(s, script.Arrival, 1)
+	if a.Class != "storm" || a.Tenant != "city" || fmt.Sprint(a.Tags) != "[a b]" || a.Refuse != 0 || len(a.Failed) != 2 {
+		t.Errorf("%+v", a)
+	}
+	if a := advise(s, script.Route, 1); fmt.Sprint(a.Exclude) != "[1 2 3]" {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestFailureRefuses(t *testing.T) {
+	s := set(t, nil, "@failure(refuse)\non arrival {\n\tfail \"no\"\n}\n")
+	for i := range 20 { // by its failure, and when it is out
+		if a := advise(s, script.Arrival, time.Duration(i)*time.Millisecond); a.Refuse != 42 {
+			t.Fatalf("%d: %+v", i, a)
+		}
+	}
+	if !s.Refuses(script.Arrival) || s.Refuses(script.Route) {
+		t.Error("which kinds refuse is told wrongly")
+	}
+}
+
+// A hook that fails is taken out, tried again after a while, out for twice as long if it fails again, and put back when it works.
+func TestBreaker(t *testing.T) {
+	s := set(t, nil, "var bad = true\nevery 1s {\n\tbad = system.open > 0\n}\non arrival {\n\tif bad {\n\t\tfail \"bad\"\n\t}\n}\n")
+	now := time.Hour
+	runs := func() uint64 { return s.byKind[script.Arrival][0].stats.Runs }
+	var notes []string
+	for range 100 {
+		notes = append(notes, advise(s, script.Arrival, now).Notes...)
+	}
+	if runs() != failuresInARow || len(notes) != 1 {
+		t.Fatalf("%d runs, %v", runs(), notes)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		runs  uint64
+	}{{999 * time.Millisecond, 5}, {time.Second, 6}, {1900 * time.Millisecond, 6}, {3 * time.Second, 7}, {6 * time.Second, 7}, {7 * time.Second, 8}} {
+		advise(s, script.Arrival, now+c.after)
+		if runs() != c.runs {
+			t.Errorf("after %v: %d runs, want %d", c.after, runs(), c.runs)
+		}
+	}
+	var a Advice
+	r := NewRunner()
+	ev := script.EveryEvent(0, 0, 0, 0, 0, 0)
+	r.Due(s, &ev, now, &a)
+	r.Due(s, &ev, now+time.Minute, &a)
+	if a := advise(s, script.Arrival, now+time.Minute); len(a.Notes) != 1 {
+		t.Errorf("not put back: %+v", a)
+	}
+	if v := s.Views(now + time.Minute); v[1].State != "in use" && v[0].State != "in use" {
+		t.Errorf("%+v", v)
+	}
+}
+
+// One that fails now and then stays; one that fails more than half the time goes.
+func TestBreakerShares(t *testing.T) {
+	for _, c := range []struct {
+		every int
+		out   bool
+	}{{4, false}, {3, false}, {1, true}} {
+		var b breaker
+		for i := range 200 {
+			if b.allow(time.Hour) {
+				b.done(time.Hour, i%c.every == 0, 1)
+			}
+		}
+		if (b.span > 0) != c.out {
+			t.Errorf("failing each %d: out %v", c.every, b.span > 0)
+		}
+	}
+	var b breaker
+	for i := range 200 {
+		if b.allow(time.Hour) {
+			b.done(time.Hour, i%4 != 0, 1)
+		}
+	}
+	if b.span == 0 {
+		t.Error("failing three times of four: still in use")
+	}
+}
+
+// A hook just under its budget for every call has an allowance a second as well.
+func TestStepsPerSecond(t *testing.T) {
+	var b breaker
+	n := 0
+	for b.allow(time.Hour) {
+		b.done(time.Hour, false, 900_000)
+		n++
+	}
+	if n < 20 || n > 25 {
+		t.Errorf("%d runs of 900,000 steps in one second", n)
+	}
+	if !b.allow(time.Hour + time.Second) {
+		t.Error("nothing in the next second")
+	}
+}
+
+// A bad set is refused with its place; the old one stays.
+func TestExamplesAndVersions(t *testing.T) {
+	text := "counter seen\non arrival {\n\tseen.add(1)\n\tif call.called matches 8201* {\n\t\tset_class(\"storm\")\n\t}\n\tif seen.value() > 1 {\n\t\ttag(\"again\")\n\t}\n}\n"
+	ex, err := ParseExamples("e.yaml", []byte("- hook: arrival\n  event: {call.called: \"820155\"}\n  want: {class: storm}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b Book
+	one := set(t, nil, text)
+	if err := one.Check(ex); err != nil {
+		t.Fatal(err)
+	}
+	b.Put(one)
+	advise(one, script.Arrival, 1)
+	two := set(t, one, strings.Replace(text, "8201*", "8202*", 1))
+	if err := two.Check(ex); err == nil || !strings.Contains(err.Error(), "example 1 (arrival)") {
+		t.Errorf("an example that comes out otherwise: %v", err)
+	}
+	if a := advise(two, script.Arrival, 1); fmt.Sprint(a.Tags) != "[again]" {
+		t.Errorf("the counter does not go on: %+v", a) // and the trial has not touched it
+	}
+	b.Put(two)
+	if b.Live().Version != 2 || b.RollBack() != nil || b.Live() != one || b.RollBack() == nil {
+		t.Error("rolling back")
+	}
+	if _, err := Compile([]Source{{"x.ug", "on arrival {\n\trefus(1)\n}"}}, names, one); err == nil || !strings.HasPrefix(err.Error(), "x.ug:2:2: ") {
+		t.Errorf("%v", err)
+	}
+	for _, bad := range []string{"- hook: arrival\n  event: {call.caled: \"1\"}\n", "- hook: moon\n  event: {}\n", "- hook: arrival\n  event: {call.category: \"x\"}\n"} {
+		ex, err := ParseExamples("e.yaml", []byte(bad))
+		if err == nil && one.Check(ex) == nil {
+			t.Errorf("%q passes", bad)
+		}
+	}
+	if _, err := ParseExamples("e.yaml", []byte("- hok: arrival\n")); err == nil {
+		t.Error("an unknown key passes")
+	}
+}
+
+func TestShadow(t *testing.T) {
+	var b Book
+	live, shadow := set(t, nil, "on arrival {\n\tset_class(\"map\")\n}\n"), set(t, nil, "on arrival {\n\tset_class(\"storm\")\n}\n")
+	b.Put(live)
+	b.Try(shadow)
+	x, y := advise(live, script.Arrival, 1), advise(shadow, script.Arrival, 1)
+	b.Compare(script.Arrival, Differs(&x, &y))
+	b.Compare(script.Arrival, Differs(&x, &x))
+	if r := strings.Join(b.Report(1), "\n"); !strings.Contains(r, "2 runs, 1 differ") || !strings.Contains(r, "Class:storm") {
+		t.Error(r)
+	}
+}
+
+// Ticks: each in its time, once however the clock jumps.
+func TestEvery(t *testing.T) {
+	s := set(t, nil, "counter n\nevery 5s {\n\tn.add(1)\n}\nevery 7s {\n\tn.add(100)\n}\n")
+	r := NewRunner()
+	var a Advice
+	ev := script.EveryEvent(0, 0, 0, 0, 0, 0)
+	for now := time.Hour; now <= time.Hour+35*time.Second; now += time.Second {
+		r.Due(s, &ev, now, &a)
+	}
+	r.Due(s, &ev, 100*time.Hour, &a)
+	var res script.Result
+	p, err := script.Compile("f0.ug", "counter n\nevery 5s {\n\tlog(\"n\", n.value())\n}\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	st := p.NewState(s.states[0], s.programs[0])
+	if err := script.NewVM().Run(p, 0, &ev, st, 0, &res); err != nil || res.Logs[0].Value != "608" {
+		t.Errorf("%v %v: 8 and 6 runs are wanted", res.Logs, err)
+	}
+}
+
+func TestErrorsAreOfTheScript(t *testing.T) {
+	_, err := Compile([]Source{{"a.ug", "on"}, {"b.ug", "fn"}}, names, nil)
+	var e script.Errors
+	if !errors.As(err, &e) || len(e) < 2 {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/hooks/run.go
@@ -0,0 +1,185 @@
+package hooks
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/umbergauge/umbergauge/script"
+)
+
+// Advice is what hooks ask for, all that a call can get from them.
+type Advice struct {
+	Refuse  int // cause value of a call that has just come; 0: not refused
+	Class   string
+	Tenant  string
+	Rewrite string
+	Exclude []int // exchanges that the call is kept away from
+	Treat   int   // cause that the module reads in place of a refused attempt's
+	Tags    []string
+	Logs    []script.Pair
+	// Failed names the hooks that failed, Notes what their breakers did.
+	Failed []string
+	Notes  []string
+}
+
+// Runner runs hooks; each worker has its own.
+type Runner struct {
+	vm  *script.VM
+	res script.Result
+}
+
+// NewRunner makes a Runner.
+func NewRunner() *Runner { return &Runner{vm: script.NewVM()} }
+
+// lock guards breakers and totals, which workers share. It is held for a few instructions, never while a hook runs.
+var lock sync.Mutex
+
+// Run runs all hooks of a kind on an event, in the order of their files, and adds what they ask for to a. What a hook asked
+// for before it failed does not count.
+func (r *Runner) Run(s *Set, kind string, ev *script.Event, now time.Duration, a *Advice) {
+	for _, h := range s.byKind[kind] {
+		r.guarded(h, ev, now, a)
+	}
+}
+
+// Due runs every hook whose time has come, and returns when the next one's does; 0: there is none.
+func (r *Runner) Due(s *Set, ev *script.Event, now time.Duration, a *Advice) (next time.Duration) {
+	for _, h := range s.byKind[script.Every] {
+		if h.nextRun == 0 {
+			h.nextRun = now + h.every
+		}
+		if now >= h.nextRun {
+			// A clock that jumps makes no hook run twice for what it missed.
+			h.nextRun = now + h.every
+			r.guarded(h, ev, now, a)
+		}
+		if next == 0 || h.nextRun < next {
+			next = h.nextRun
+		}
+	}
+	return next
+}
+
+// guarded runs one hook under its breaker.
+func (r *Runner) guarded(h *hook, ev *script.Event, now time.Duration, a *Advice) {
+	lock.Lock()
+	allowed := h.breaker.allow(now)
+	if !allowed {
+		h.stats.Skipped++
+	}
+	lock.Unlock()
+	if !allowed {
+		if h.refuse && a.Refuse == 0 { // what must not go on without its hook does not
+			a.Refuse = 42
+		}
+		return
+	}
+	err := r.one(h, ev, now, a)
+	lock.Lock()
+	h.stats.Runs++
+	h.stats.Steps += uint64(r.res.Steps)
+	if err != nil {
+		h.stats.Failures++
+		h.stats.LastError = err.Error()
+	}
+	changed := h.breaker.done(now, err != nil, r.res.Steps)
+	state := h.breaker.state(now)
+	lock.Unlock()
+	if err != nil {
+		a.Failed = append(a.Failed, h.name)
+		if h.refuse && a.Refuse == 0 {
+			a.Refuse = 42
+		}
+	}
+	if changed {
+		a.Notes = append(a.Notes, fmt.Sprintf("%s is %s: %v", h.name, state, err))
+	}
+}
+
+// one runs a hook and merges what it asks for.
+func (r *Runner) one(h *hook, ev *script.Event, now time.Duration, a *Advice) error {
+	r.res.Reset()
+	s := h.set
+	if err := r.vm.Run(s.programs[h.program], h.index, ev, s.states[h.program], now, &r.res); err != nil {
+		return err
+	}
+	return s.merge(h, &r.res, a)
+}
+
+// merge turns what one hook asked for into advice. It is the one place that does, and asks again what the kind of hook may
+// say: the first refusal, class, tenant and number stand, exclusions and words add up.
+func (s *Set) merge(h *hook, res *script.Result, a *Advice) error {
+	if res.Class != "" && !slices.Contains(s.names.Classes, res.Class) {
+		return fmt.Errorf("%s: there is no class %q", h.name, res.Class)
+	}
+	if res.Tenant != "" && !slices.Contains(s.names.Tenants, res.Tenant) {
+		return fmt.Errorf("%s: there is no tenant %q", h.name, res.Tenant)
+	}
+	first := func(to *string, v string) {
+		if *to == "" {
+			*to = v
+		}
+	}
+	if h.kind == script.Arrival {
+		if a.Refuse == 0 {
+			a.Refuse = res.Refuse
+		}
+		first(&a.Class, res.Class)
+		first(&a.Tenant, res.Tenant)
+		first(&a.Rewrite, res.Rewrite)
+	}
+	if h.kind == script.Route {
+		for _, x := range res.Exclude {
+			if len(a.Exclude) < 64 && !slices.Contains(a.Exclude, x) {
+				a.Exclude = append(a.Exclude, x)
+			}
+		}
+	}
+	if h.kind == script.AttemptEnd && a.Treat == 0 && script.Treatable(int64(res.Treat)) {
+		a.Treat = res.Treat
+	}
+	for _, t := range res.Tags {
+		if len(a.Tags) < 32 {
+			a.Tags = append(a.Tags, t)
+		}
+	}
+	for _, l := range res.Logs {
+		if len(a.Logs) < 32 {
+			a.Logs = append(a.Logs, l)
+		}
+	}
+	return nil
+}
+
+// Late notes that a call has gone on without an answer of the hooks of a kind.
+func (s *Set) Late(kind string) {
+	lock.Lock()
+	defer lock.Unlock()
+	for _, h := range s.byKind[kind] {
+		h.stats.Late++
+	}
+}
+
+// Refuses tells whether a call must be refused that the hooks of a kind have not answered in time.
+func (s *Set) Refuses(kind string) bool {
+	return slices.ContainsFunc(s.byKind[kind], func(h *hook) bool { return h.refuse })
+}
+
+// Differs tells in a line how the advice of a shadow set differs from that of the live one; empty: it does not.
+func Differs(live, shadow *Advice) string {
+	type said struct {
+		Refuse                 int
+		Class, Tenant, Rewrite string
+		Exclude                []int
+		Treat                  int
+		Failed                 int
+	}
+	a := said{live.Refuse, live.Class, live.Tenant, live.Rewrite, live.Exclude, live.Treat, len(live.Failed)}
+	b := said{shadow.Refuse, shadow.Class, shadow.Tenant, shadow.Rewrite, shadow.Exclude, shadow.Treat, len(shadow.Failed)}
+	if x, y := fmt.Sprintf("%+v", a), fmt.Sprintf("%+v", b); x != y {
+		return fmt.Sprintf("live %s, shadow %s", x, y)
+	}
+	return ""
+}
