--- a/brain/api.go
+++ b/brain/api.go
@@ -117,9 +117,10 @@
 		Advised     int    // tandem with most room as a centre saw it, or -1; in transit: where it comes from
 		Circuits    float64
 		Due         time.Duration
-		Transit     bool // sent here by another exchange: on to its destination or back
-		CutBefore   bool // it stood, was cut and comes again
-		Redial      bool // dialled again, where callers mark it
+		Transit     bool  // sent here by another exchange: on to its destination or back
+		CutBefore   bool  // it stood, was cut and comes again
+		Redial      bool  // dialled again, where callers mark it
+		Exclude     []int // point codes that this call is kept away from
 	}
 	// Established tells that the call stands.
 	Established struct {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -484,7 +484,7 @@
 // only is set, no other tandem is tried.
 func (c *Controller) route(k *call, only *exchange) (x *exchange, wait bool) {
 	dest := c.exchanges[k.Destination]
-	if dest == nil || dest.health != Ready {
+	if dest == nil || dest.health != Ready || slices.Contains(k.Exclude, dest.code) {
 		return nil, false
 	}
 	if k.attempts >= c.cfg.MaxAttempts || k.mayRun && !c.cfg.Classes[k.Class].Repeatable {
@@ -523,7 +523,8 @@
 	for _, t := range tandems {
 		turned := t.turned[dest.code]
 		if t == dest || t.health != Ready || t.size < 0 || c.cold(t) || !c.quick(t) || !c.admits(t, k) ||
-			slices.Contains(k.tried, t.code) || t.free < k.Circuits+kept(t) ||
+			slices.Contains(k.tried, t.code) || slices.Contains(k.Exclude, t.code) ||
+			t.free < k.Circuits+kept(t) ||
 			turned.n > 0 && c.now < turned.last+turnedBackKept {
 			continue
 		}
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/umbergauge/umbergauge/brain"
+	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/isup"
+	"github.com/umbergauge/umbergauge/script"
 	"github.com/umbergauge/umbergauge/trunk"
 )
 
@@ -101,18 +103,29 @@
 	c.toClient(l, &isup.Message{Type: isup.REL, Cause: l.cause, Location: isup.LocationNetwork})
 }
 
-// newCall makes a call from an IAM; nil with the cause if it cannot be taken at all.
-func (c *Core) newCall(m *isup.Message, transit bool) (*call, isup.Cause) {
+// destination finds the exchange behind a number; the cause is 0 if a call can go there.
+func (c *Core) destination(called isup.Number) (uint32, isup.Cause) {
+	switch dest, ok := c.numbers.Lookup(called); {
+	case !ok:
+		return 0, isup.CauseUnallocated
+	case dest == c.cfg.PointCode: // no trunk group leads there
+		return dest, isup.CauseNoRoute
+	default:
+		return dest, 0
+	}
+}
+
+// newCall makes a call from an IAM; nil with the cause if it cannot be taken at all. With hooks on arrival the number may
+// still change, and leads nowhere only when they have had it.
+func (c *Core) newCall(m *isup.Message, transit bool, set *hooks.Set) (*call, isup.Cause) {
 	switch isup.Unknown(m, transit) {
 	case isup.Discard, isup.Release:
 		return nil, isup.CauseUnknownPar
 	}
-	dest, ok := c.numbers.Lookup(m.Called)
+	dest, cause := c.destination(m.Called)
 	switch {
-	case !ok:
-		return nil, isup.CauseUnallocated
-	case dest == c.cfg.PointCode: // no trunk group leads there
-		return nil, isup.CauseNoRoute
+	case cause != 0 && !set.Has(script.Arrival):
+		return nil, cause
 	case c.draining, len(c.calls) >= c.cfg.MaxCalls:
 		return nil, isup.CauseCongestion
 	case m.HasHops && m.Hops == 0: // it goes round in circles (Q.764, 2.1.22)
@@ -133,7 +146,7 @@
 		}
 	}
 	opt := k.iam.Optional[:0]
-	*k = call{id: c.lastID, dest: dest, arrived: c.now, class: int(c.classOf[m.Category])}
+	*k = call{id: c.lastID, dest: dest, arrived: c.now, class: int(c.classOf[m.Category]), set: set}
 	k.iam = *m
 	k.iam.Compat = append([]byte(nil), m.Compat...)
 	k.iam.Optional = opt
@@ -152,7 +165,11 @@
 // offer hands a client's call to the module.
 func (c *Core) offer(l *leg, m *isup.Message) {
 	cut := c.wasCut(m)
-	k, cause := c.newCall(m, false)
+	var set *hooks.Set
+	if c.cfg.Hooks != nil {
+		set = c.cfg.Hooks.Live()
+	}
+	k, cause := c.newCall(m, false, set)
 	if k == nil {
 		c.Counters.Refused++
 		c.port.Ended(Ending{Outcome: Refused, Class: int(c.classOf[m.Category]), Tenant: l.assoc.peer.Tenant, Called: m.Called, Cause: cause})
@@ -161,16 +178,21 @@
 	}
 	k.leg, l.call, k.tenant = l, k, l.assoc.peer.Tenant
 	c.Counters.Offered++
-	c.enter(k, brain.Offered{Advised: -1, Tenant: k.tenant, CutBefore: cut})
+	k.cut = cut
+	c.calls[k.id] = k
+	c.waiting++
+	if set.Has(script.Arrival) || set.Has(script.Route) {
+		c.ask(k, askArrival, script.Arrival, script.CallEvent(c.view(k)))
+		return
+	}
+	c.enter(k, brain.Offered{Advised: -1})
 }
 
-// enter puts a call into the table and tells the module.
+// enter tells the module of a call of the table.
 func (c *Core) enter(k *call, ev brain.Offered) {
-	c.calls[k.id] = k
-	c.waiting++
-	ev.Call, ev.Class, ev.Destination, ev.Circuits = k.id, k.class, int(k.dest), 1
+	ev.Call, ev.Class, ev.Tenant, ev.Destination, ev.Circuits, ev.CutBefore = k.id, k.class, k.tenant, int(k.dest), 1, k.cut
 	ev.Number = k.iam.Called.String()
-	ev.Due = c.now + max(0, c.cfg.Classes[k.class].Patience-k.delay-c.cfg.AnswerMargin)
+	ev.Due = k.arrived + max(0, c.cfg.Classes[k.class].Patience-k.delay-c.cfg.AnswerMargin)
 	c.tell(ev)
 }
 
@@ -184,9 +206,13 @@
 		c.endStanding(k, o, cause, brain.Completed)
 		return
 	}
-	c.tell(brain.Released{Call: k.id})
+	if k.asking != askArrival { // else the module has not been told of it
+		c.tell(brain.Released{Call: k.id})
+	}
 	if k.to != nil {
-		c.abandon(k, isup.CauseNormal)
+		if k.asking != askEnd {
+			c.abandon(k, isup.CauseNormal)
+		}
 		c.returned(k, brain.Cancelled, brain.NoReason, true)
 	}
 	c.close(k, Left, cause)
@@ -276,8 +302,12 @@
 			break
 		}
 		k.cause, k.loc = cause, loc
-		why, reason := ended(cause, loc, f.PointCode == k.dest)
-		c.returned(k, why, reason, false)
+		c.wheel.Stop(k.timeOut)
+		if k.set.Has(script.AttemptEnd) {
+			c.ask(k, askEnd, script.AttemptEnd, script.AttemptEndEvent(c.view(k), int(cause), int(f.PointCode), f.PointCode == k.dest, c.now-k.sentAt))
+			break
+		}
+		c.attemptEnded(k, cause)
 	case isup.CQR:
 		c.responded(f, m)
 	default:
@@ -290,6 +320,12 @@
 	}
 }
 
+// attemptEnded tells the module that a REL has ended the attempt out, with its cause or the one that hooks put in its place.
+func (c *Core) attemptEnded(k *call, cause isup.Cause) {
+	why, reason := ended(cause, k.loc, k.to.PointCode == k.dest)
+	c.returned(k, why, reason, false)
+}
+
 // responded takes a far switch's view of the circuits after signalling came up. Whether the switch remembers calls that
 // stand shows whether it has started anew; where none stands it is taken for cold, which is the safe side.
 func (c *Core) responded(f *far, m *isup.Message) {
@@ -304,7 +340,7 @@
 	if !f.known {
 		f.launched = c.now
 		if f.health == brain.Ready {
-			c.tell(brain.List{Entries: []brain.Entry{f.entry()}})
+			c.listed(f.entry())
 		}
 	}
 }
@@ -336,7 +372,7 @@
 		c.acts(f)
 		return
 	}
-	k, cause := c.newCall(m, true)
+	k, cause := c.newCall(m, true, nil)
 	id := uint64(0)
 	if k != nil {
 		id = k.id
@@ -352,6 +388,8 @@
 	}
 	k.from, k.fromCIC = f, m.CIC
 	c.Counters.Transit++
+	c.calls[k.id] = k
+	c.waiting++
 	c.enter(k, brain.Offered{Transit: true, Advised: int(f.PointCode)})
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/umbergauge/umbergauge/brain"
+	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/isup"
 	"github.com/umbergauge/umbergauge/m3ua"
 	"github.com/umbergauge/umbergauge/numbering"
+	"github.com/umbergauge/umbergauge/script"
 	"github.com/umbergauge/umbergauge/timer"
 	"github.com/umbergauge/umbergauge/trunk"
 )
@@ -27,6 +29,7 @@
 	Brain     brain.Config // Self is taken from PointCode
 	Exchanges []Exchange   // the own one among them
 	Classes   []Class      // in the order of Brain.Classes
+	Tenants   []string     // names, in the order of Brain.Tenants
 
 	AnswerMargin time.Duration // a final answer leaves so long before the caller gives up, for its way
 	CutMemory    time.Duration // a call that was cut and comes again is known as such so long
@@ -35,10 +38,32 @@
 	Trunk        trunk.Timers
 	ClientT1     time.Duration // REL to a client without RLC is sent again, five times
 
+	// Hooks are the scripts' hooks; nil: there are none.
+	Hooks Hooks
+	// HookDeadline is how long a call waits for its hooks, before it goes on as without them.
+	HookDeadline time.Duration
+
 	// Module makes the module; nil: brain.New. Another is for comparisons only, on days that are played.
 	Module func(brain.Config) (Module, error)
 }
 
+// Hooks run scripts beside the controller. Its methods don't block.
+type Hooks interface {
+	// Live is the set that a call belongs to that comes now, or nil.
+	Live() *hooks.Set
+	// Ask hands an event to the hooks of a set; Core.Advise brings their answer, if it comes. false: they are too busy.
+	Ask(a Ask) bool
+}
+
+// Ask is a question to hooks.
+type Ask struct {
+	Call  uint64
+	Seq   uint32 // names the question among those of its call
+	Set   *hooks.Set
+	Kind  string // script.Arrival, with script.Route after it, or script.AttemptEnd
+	Event script.Event
+}
+
 // Module decides. In the program it is *brain.Controller.
 type Module interface {
 	Handle(now time.Duration, ev brain.Event, out []brain.Action) []brain.Action
@@ -91,6 +116,8 @@
 	Close(a Assoc, why string)
 	// Ended tells of each call that has ended or been answered.
 	Ended(e Ending)
+	// Listed tells of each change of the list of exchanges.
+	Listed(e brain.Entry, cold bool)
 }
 
 // Outcome is how a call came out.
@@ -123,12 +150,17 @@
 	Attempts int
 	Cause    isup.Cause
 	After    time.Duration // since the call came
+	Calling  isup.Number
+	Category isup.Category
+	Set      *hooks.Set // of the call's hooks, or nil
+	Tags     []string   // that they put on it
 }
 
 // Counters are totals since the start.
 type Counters struct {
 	Offered, Transit, Attempts, Established, Refused, Failed, Left, Finished, Cut uint64
 	TimedOut, NoContact, NotSent, LateAnswers, Malformed, Unexpected, QueueFull   uint64
+	HookAsked, HookLate, HookBusy, HookRefused                                    uint64
 }
 
 type phase uint8
@@ -158,11 +190,27 @@
 	sentAt   time.Duration
 	timeOut  timer.Handle
 	via      uint32
+	cut      bool // it stood, was cut and comes again
 	progress bool // ACM has been passed back
 	cause    isup.Cause
 	loc      isup.Location
+
+	set     *hooks.Set // of its hooks
+	asking  asking
+	askSeq  uint32
+	askTime timer.Handle
+	tags    []string
 }
 
+// asking tells which hooks a call waits for.
+type asking uint8
+
+const (
+	askNone    asking = iota
+	askArrival        // the module has not been told of the call
+	askEnd            // the attempt has ended, its circuit is free, and the module has not been told
+)
+
 // leg is one circuit of a client.
 type leg struct {
 	assoc   *assoc
@@ -203,10 +251,12 @@
 	attemptTimer
 	trunkTimer
 	legTimer
+	hookTimer
 )
 
 type alarm struct {
 	kind alarmKind
+	seq  uint32
 	id   uint64
 	far  *far
 	wake trunk.Wake
@@ -351,12 +401,21 @@
 		f.launched, f.doubt = now, true // nothing is known of it: taken for cold
 		entries = append(entries, f.entry())
 	}
-	if len(entries) > 0 {
-		c.tell(brain.List{Entries: entries})
-	}
+	c.listed(entries...)
 	return nil
 }
 
+// listed tells the module of changes of the list, and the hooks.
+func (c *Core) listed(entries ...brain.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	c.tell(brain.List{Entries: entries})
+	for _, e := range entries {
+		c.port.Listed(e, e.Launched > 0 && c.now < e.Launched+c.cfg.Brain.WarmUp)
+	}
+}
+
 func (f *far) entry() brain.Entry {
 	return brain.Entry{Address: f.Address, PointCode: int(f.PointCode), Health: f.health, Launched: f.launched}
 }
@@ -382,6 +441,8 @@
 			c.acts(a.far)
 		case legTimer:
 			c.repeatRelease(a.leg)
+		case hookTimer:
+			c.hooksLate(a.id, a.seq)
 		}
 	})
 }
@@ -518,7 +579,7 @@
 		f.launched, f.doubt = c.now, false
 	}
 	if f.health == brain.Ready {
-		c.tell(brain.List{Entries: []brain.Entry{f.entry()}})
+		c.listed(f.entry())
 	}
 }
 
@@ -710,9 +771,7 @@
 			}
 		}
 	}
-	if len(entries) > 0 {
-		c.tell(brain.List{Entries: entries})
-	}
+	c.listed(entries...)
 }
 
 // returned tells the module that the attempt out has ended. The circuit has been dealt with.
@@ -806,7 +865,7 @@
 			cause, loc = isup.CauseNoCircuit, isup.LocationTransit
 		}
 	}
-	if k.to != nil { // it can only be so if the module has forgotten its attempt
+	if k.to != nil && k.asking != askEnd { // it can only be so if the module has forgotten its attempt
 		c.abandon(k, isup.CauseTimer)
 		c.wheel.Stop(k.timeOut)
 	}
@@ -833,6 +892,9 @@
 	}
 	k.phase = over
 	delete(c.calls, k.id)
+	if k.asking != askNone {
+		c.wheel.Stop(k.askTime)
+	}
 	switch o {
 	case Refused:
 		c.Counters.Refused++
@@ -857,7 +919,8 @@
 
 func (c *Core) note(k *call, o Outcome, cause isup.Cause) {
 	e := Ending{Outcome: o, Call: k.id, Class: k.class, Tenant: k.tenant, Transit: k.from != nil, Called: k.iam.Called,
-		To: k.dest, Via: k.via, Attempts: k.attempts, Cause: cause, After: c.now - k.arrived}
+		To: k.dest, Via: k.via, Attempts: k.attempts, Cause: cause, After: c.now - k.arrived,
+		Calling: k.iam.Calling, Category: k.iam.Category, Set: k.set, Tags: k.tags}
 	c.port.Ended(e)
 }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -58,6 +58,7 @@
 
 func (r *rig) Close(a Assoc, why string) { r.closed[a] = why }
 func (r *rig) Ended(e Ending)            { r.ends = append(r.ends, e) }
+func (r *rig) Listed(brain.Entry, bool)  {}
 
 func newRig(t *testing.T, circuits int, change ...func(*Config)) *rig {
 	cfg := Config{
@@ -711,6 +712,8 @@
 func (n *nowhere) Close(Assoc, string) {}
 func (n *nowhere) Ended(Ending)        {}
 
+func (n *nowhere) Listed(brain.Entry, bool) {}
+
 func benchmarkCall(b *testing.B, open int) {
 	cfg := Config{PointCode: 1, Hops: 5, Brain: brain.Config{Controllers: 2, MaxAttempts: 4, Guard: 200 * ms,
 		Classes: []brain.Class{{Aim: 1500 * ms, Worth: 1, Circuits: 1, Repeatable: true}}},
--- a/hooks/set.go
+++ b/hooks/set.go
@@ -194,6 +194,8 @@
 
 // Views are all hooks of a set, in the order of its files.
 func (s *Set) Views(now time.Duration) []View {
+	lock.Lock()
+	defer lock.Unlock()
 	var out []View
 	for _, h := range s.hooks {
 		out = append(out, View{h.name, h.kind, h.breaker.state(now), h.stats})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,16 @@
 	Timers      Timers      `yaml:"timers"`
 	Association Association `yaml:"association"`
 	Limits      Limits      `yaml:"limits"`
+	Hooks       Hooks       `yaml:"hooks"`
+}
+
+// Hooks are the scripts and how they are run.
+type Hooks struct {
+	Files    []string      `yaml:"files"`
+	Examples []string      `yaml:"examples"`
+	Deadline time.Duration `yaml:"deadline"`
+	Workers  int           `yaml:"workers"`
+	Queue    int           `yaml:"queue"`
 }
 
 // Log is how the daemon logs.
@@ -138,6 +148,7 @@
 		Association: Association{2 * time.Second, 3, 5 * time.Second, 10 * time.Second, 2 * time.Second, 5 * time.Second,
 			100 * time.Millisecond, 5 * time.Second, 1 << 20},
 		Limits: Limits{100_000, 1000, 4096},
+		Hooks:  Hooks{Deadline: 20 * time.Millisecond, Workers: 2, Queue: 1024},
 	}
 }
 
@@ -341,6 +352,9 @@
 	v.Must(c.Limits.Calls >= 1 && c.Limits.Calls <= 1<<30, "limits.calls", "%d; 1 to 2^30 can be", c.Limits.Calls)
 	v.Must(c.Limits.Clients >= 1, "limits.clients", "%d; it must be 1 at the least", c.Limits.Clients)
 	v.Must(c.Limits.Events >= 1 && c.Limits.Events <= 1<<20, "limits.events", "%d; 1 to 2^20 can be", c.Limits.Events)
+	v.span("hooks.deadline", c.Hooks.Deadline, time.Millisecond, time.Second)
+	v.Must(c.Hooks.Workers >= 1 && c.Hooks.Workers <= 64, "hooks.workers", "%d; 1 to 64 can be", c.Hooks.Workers)
+	v.Must(c.Hooks.Queue >= 1 && c.Hooks.Queue <= 1<<16, "hooks.queue", "%d; 1 to 65536 can be", c.Hooks.Queue)
 	c.checkClasses(v)
 	c.checkClients(v)
 	c.checkExchanges(v)
@@ -433,8 +447,10 @@
 	}
 	for _, t := range c.Tenants {
 		out.Brain.Tenants = append(out.Brain.Tenants, brain.Tenant{Quota: t.Quota})
+		out.Tenants = append(out.Tenants, t.Name)
 	}
 	out.Exchanges = c.ExchangeList()
+	out.HookDeadline = c.Hooks.Deadline
 	return out
 }
 
