--- a/cmd/umbergauge/run.go
+++ b/cmd/umbergauge/run.go
@@ -77,6 +77,8 @@
 							log.Error().Err(err).Msg("reload refused, all stays as it was")
 						} else if err := d.Reload(ctx, next); err != nil {
 							log.Error().Err(err).Msg("reload refused, all stays as it was")
+						} else if err := d.LoadHooks(ctx, next.Hooks.Files, next.Hooks.Examples, false); err != nil {
+							log.Error().Err(err).Msg("scripts refused, the old ones stay")
 						} else {
 							log.Info().Msg("reloaded")
 						}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -123,7 +123,9 @@
 	}
 	switch {
 	case verb == "help":
-		return 211, []string{"show calls|groups|exchanges|associations|counters", "block N, unblock N: the trunk group to exchange N",
+		return 211, []string{"show calls|groups|exchanges|associations|counters|hooks", "block N, unblock N: the trunk group to exchange N",
+			"hooks load: read the scripts of the settings again; hooks rollback: the version before",
+			"hooks shadow FILE..., hooks shadow off: try scripts beside the live ones",
 			"drain: no new calls, end when the open ones have", "quit", ""}
 	case verb == "show" && len(args) == 1:
 		return d.show(ctx, strings.ToLower(args[0]))
@@ -140,6 +142,11 @@
 		}
 		d.log.Warn().Uint64("exchange", pc).Msg("operator: " + verb)
 		return one(200, "group to %d: %s done", pc, verb)
+	case verb == "hooks":
+		if err := d.hooksCommand(ctx, args); err != nil {
+			return 554, append(strings.Split(err.Error(), "\n"), "")
+		}
+		return one(200, "done; show hooks tells")
 	case verb == "drain" && len(args) == 0:
 		d.log.Warn().Msg("operator: drain")
 		d.Drain()
@@ -157,6 +164,8 @@
 	if err := d.do(ctx, func() {
 		s = d.snapshot()
 		switch what {
+		case "hooks":
+			text = d.hooks.book.Report(d.now())
 		case "calls":
 			calls, total = d.core.Calls(100)
 		case "associations":
@@ -170,6 +179,7 @@
 		return 451, []string{err.Error()}
 	}
 	switch what {
+	case "hooks":
 	case "calls":
 		text = append(text, fmt.Sprintf("%d calls, %d of them owed an answer", total, s.waiting))
 		for _, c := range calls {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,8 +18,10 @@
 
 	"github.com/umbergauge/umbergauge/brain"
 	"github.com/umbergauge/umbergauge/controller"
+	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/internal/config"
 	"github.com/umbergauge/umbergauge/m3ua"
+	"github.com/umbergauge/umbergauge/script"
 )
 
 // Options are the settings and what the daemon reaches the world by.
@@ -47,6 +49,7 @@
 	clients atomic.Int32 // connections of clients
 	wg      sync.WaitGroup
 	metrics *metrics
+	hooks   *hookRunner
 
 	listener, control net.Listener
 	metricsAt         net.Listener
@@ -67,14 +70,17 @@
 	evDown
 	evUnreachable
 	evCall
+	evAdvice
 )
 
 type event struct {
-	kind  eventKind
-	link  *link
-	batch *[]byte
-	pc    uint32
-	call  func()
+	kind   eventKind
+	link   *link
+	batch  *[]byte
+	pc     uint32 // of an exchange; of advice the question's number
+	id     uint64 // of a call
+	call   func()
+	advice *hooks.Advice
 }
 
 // base is added to the time since the start: the module takes 0 for long ago.
@@ -95,9 +101,17 @@
 	}
 	d.odd = &oddLog{log: o.Log, cfg: o.Config, limit: rate.NewLimiter(20, 50)}
 	d.metrics = newMetrics(d)
+	d.hooks = newHookRunner(d)
+	if len(o.Config.Hooks.Files) > 0 {
+		s, err := d.hooks.read(o.Config.Hooks.Files, o.Config.Hooks.Examples, nil)
+		if err != nil {
+			return nil, err
+		}
+		d.hooks.book.Put(s)
+	}
 	var err error
 	core := o.Config.Controller()
-	core.Module = o.Module
+	core.Module, core.Hooks = o.Module, d.hooks
 	if d.core, err = controller.New(core, port{d}, d.now()); err != nil {
 		return nil, err
 	}
@@ -156,6 +170,10 @@
 	defer d.closeListeners()
 	d.log.Info().Uint32("exchange", d.cfg.Exchange).Str("listen", d.Addr()).Msg("started")
 	d.connectAll(ctx)
+	for range d.cfg.Hooks.Workers {
+		d.own(func() { d.hooks.work(ctx) })
+	}
+	d.own(func() { d.hooks.tick(ctx) })
 	d.own(func() { d.accept(ctx) })
 	if d.control != nil {
 		d.own(func() { d.serveControl(ctx) })
@@ -301,6 +319,8 @@
 		d.core.Unreachable(d.now(), ev.pc)
 	case evCall:
 		d.guarded("call", nil, ev.call)
+	case evAdvice:
+		d.guarded("advice", nil, func() { d.core.Advise(d.now(), ev.id, ev.pc, ev.advice) })
 	case evFrames:
 		d.guarded("frames", l, func() { d.frames(l, *ev.batch) })
 		batches.Put(ev.batch)
@@ -407,25 +427,34 @@
 
 func (p port) Ended(e controller.Ending) {
 	p.d.metrics.ended(e)
-	p.d.odd.ended(e)
+	if e.Set.Has(script.Final) {
+		if p.d.hooks.post(hookJob{final: &e}) {
+			return
+		}
+		e.Set.Late(script.Final)
+	}
+	p.d.odd.line(e, nil)
 }
 
-// oddLog writes a line for each call that ends oddly, but no more than a reader can take in a storm.
+// oddLog writes a line for each call that ends oddly or that hooks have a word on, but no more than a reader can take in a
+// storm.
 type oddLog struct {
 	log        zerolog.Logger
 	cfg        *config.Config
 	limit      *rate.Limiter
-	suppressed int
+	suppressed atomic.Int64
 }
 
-func (o *oddLog) ended(e controller.Ending) {
-	switch e.Outcome {
-	case controller.Failed, controller.Cut, controller.Refused:
+// line logs the end of a call, with what its final hooks made of it, if there were any.
+func (o *oddLog) line(e controller.Ending, a *hooks.Advice) {
+	switch {
+	case e.Outcome == controller.Failed, e.Outcome == controller.Cut, e.Outcome == controller.Refused:
+	case a != nil && len(a.Tags)+len(a.Logs) > 0:
 	default:
 		return
 	}
 	if !o.limit.Allow() {
-		o.suppressed++
+		o.suppressed.Add(1)
 		return
 	}
 	class := ""
@@ -435,9 +464,18 @@
 	line := o.log.Info().Stringer("outcome", e.Outcome).Uint64("call", e.Call).Str("class", class).Bool("transit", e.Transit).
 		Stringer("called", e.Called).Uint32("to", e.To).Uint32("via", e.Via).Int("attempts", e.Attempts).
 		Uint8("cause", uint8(e.Cause)).Dur("after", e.After)
-	if o.suppressed > 0 {
-		line = line.Int("suppressed", o.suppressed)
-		o.suppressed = 0
+	tags := e.Tags
+	if a != nil {
+		tags = append(tags[:len(tags):len(tags)], a.Tags...)
+		for _, p := range a.Logs {
+			line = line.Str("x_"+p.Key, p.Value) // apart from the daemon's own fields
+		}
+	}
+	if len(tags) > 0 {
+		line = line.Strs("tags", tags)
+	}
+	if n := o.suppressed.Swap(0); n > 0 {
+		line = line.Int64("suppressed", n)
 	}
 	line.Msg("call")
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,14 +15,15 @@
 // metrics are the daemon's figures for Prometheus. Totals and the module's view are read from the controller when they
 // are asked for.
 type metrics struct {
-	d          *Daemon
-	registry   *prometheus.Registry
-	panics     prometheus.Counter
-	malformed  prometheus.Counter
-	turnedAway prometheus.Counter
-	outcomes   *prometheus.CounterVec
-	setUp      *prometheus.HistogramVec
-	stands     []prometheus.Observer // by class
+	d            *Daemon
+	registry     *prometheus.Registry
+	panics       prometheus.Counter
+	malformed    prometheus.Counter
+	turnedAway   prometheus.Counter
+	hookFailures prometheus.Counter
+	outcomes     *prometheus.CounterVec
+	setUp        *prometheus.HistogramVec
+	stands       []prometheus.Observer // by class
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -35,6 +36,7 @@
 	m.panics = counter("umbergauge_panics_total", "Panics caught.")
 	m.malformed = counter("umbergauge_malformed_frames_total", "M3UA frames that could not be read.")
 	m.turnedAway = counter("umbergauge_clients_turned_away_total", "Connections beyond limits.clients.")
+	m.hookFailures = counter("umbergauge_hook_failures_total", "Runs of hooks that failed.")
 	m.outcomes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umbergauge_calls_total", Help: "Calls by class and outcome."}, []string{"class", "outcome"})
 	m.setUp = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "umbergauge_set_up_seconds", Help: "From IAM in to answer out.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"class"})
@@ -80,6 +82,9 @@
 		{"late_answers_total", "Answers after the own time-out.", c.LateAnswers},
 		{"transit_calls_total", "Calls taken in transit.", c.Transit},
 		{"queue_full_total", "Frames that found the queue of their association full.", c.QueueFull},
+		{"hooks_asked_total", "Questions to hooks.", c.HookAsked},
+		{"hooks_late_total", "Questions without an answer by the deadline.", c.HookLate},
+		{"hooks_busy_total", "Questions that found the hooks' queue full.", c.HookBusy},
 		{"unexpected_messages_total", "Messages that fit no state.", c.Unexpected},
 	} {
 		emit(prometheus.CounterValue, x.name, x.help, float64(x.v))
