--- a/bench/bench.go
+++ b/bench/bench.go
@@ -35,8 +35,9 @@
 	Rate      float64       // calls a second, when delay is measured
 	Span      time.Duration // of each measurement
 	WarmUp    time.Duration
-	Program   string // the binary that is run as controller and relay
-	Profile   string // file for the controller's CPU profile, if any
+	Program   string   // the binary that is run as controller and relay
+	Profile   string   // file for the controller's CPU profile, if any
+	Hooks     []string // scripts of the controller
 }
 
 // Figures are those of one subject.
@@ -132,7 +133,7 @@
 		cmd = exec.CommandContext(ctx, o.Program, append([]string{"bench", "relay", listen}, addrs...)...)
 	} else {
 		file := filepath.Join(dir, "controller.yaml")
-		if err := writeSettings(file, listen, addrs); err != nil {
+		if err := writeSettings(file, listen, addrs, o.Hooks); err != nil {
 			return f, err
 		}
 		cmd = exec.CommandContext(ctx, o.Program, "run", "-c", file)
@@ -181,8 +182,9 @@
 	return f, nil
 }
 
-func writeSettings(file, listen string, addrs []string) error {
+func writeSettings(file, listen string, addrs, scripts []string) error {
 	c := config.Default()
+	c.Hooks.Files = scripts
 	c.Exchange, c.Listen, c.Log.Level = selfPC, listen, "error"
 	c.Classes = []config.Class{{Name: "a", Aim: 2 * time.Second, Patience: 10 * time.Second, Worth: 1}}
 	for i, a := range addrs {
--- a/cmd/umbergauge/bench.go
+++ b/cmd/umbergauge/bench.go
@@ -54,6 +54,7 @@
 	f.DurationVar(&o.Span, "span", 5*time.Second, "of each measurement")
 	f.DurationVar(&o.WarmUp, "warm-up", 3*time.Second, "before them")
 	f.StringVar(&o.Profile, "cpuprofile", "", "write the controller's CPU profile to this file")
+	f.StringSliceVar(&o.Hooks, "hooks", nil, "scripts that the controller runs")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	relay := &cobra.Command{
 		Use: "relay LISTEN SWITCH...", Hidden: true, Args: cobra.MinimumNArgs(2),
--- a/cmd/umbergauge/day.go
+++ b/cmd/umbergauge/day.go
@@ -30,6 +30,7 @@
 	var seed uint64
 	var asJSON, draw, plainly, verbose bool
 	var kind, trace string
+	var scripts []string
 	c := &cobra.Command{
 		Use:   "day [FILE|NAME]",
 		Short: "Play a scripted day through real controllers on loopback and judge it; without FILE the built-in bad day",
@@ -54,6 +55,9 @@
 			if verbose {
 				opt.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, TimeFormat: time.StampMilli}).With().Timestamp().Logger()
 			}
+			if opt.Hooks, err = sources(scripts); err != nil {
+				return err
+			}
 			if plainly {
 				opt.Module = plain.New
 			}
@@ -90,6 +94,7 @@
 	f.Bool("play", false, "play the drawn day")
 	f.BoolVar(&plainly, "plain", false, "play it with plain direct-only routing, for comparison")
 	f.BoolVarP(&verbose, "verbose", "v", false, "show the controllers' logs")
+	f.StringSliceVar(&scripts, "hooks", nil, "scripts that every controller runs")
 	f.StringVar(&trace, "trace", "", "show the frames of the call REF (as findings name it)")
 	return c
 }
--- a/daemon/hooks.go
+++ b/daemon/hooks.go
@@ -243,6 +243,19 @@
 	return nil
 }
 
+// SwapHooks puts scripts that the program holds in the place of the live ones at one instant.
+func (d *Daemon) SwapHooks(ctx context.Context, src []hooks.Source) error {
+	var earlier *hooks.Set
+	if err := d.do(ctx, func() { earlier = d.hooks.book.Live() }); err != nil {
+		return err
+	}
+	s, err := d.hooks.compile(src, nil, earlier)
+	if err != nil {
+		return err
+	}
+	return d.do(ctx, func() { d.useHooks(s, false) })
+}
+
 func (d *Daemon) useHooks(s *hooks.Set, shadow bool) {
 	if shadow {
 		d.hooks.book.Try(s)
--- a/day/draw.go
+++ b/day/draw.go
@@ -121,6 +121,15 @@
 	return &d
 }
 
+// OverloadDay is a day at 120% of the planned load with a peak beyond that.
+func OverloadDay() *Day {
+	d := Default()
+	d.Name, d.Length, d.Seed = "overload-day", 30*time.Second, 5
+	d.Traffic.Load = 1.2
+	d.Troubles = []Trouble{{Kind: LoadJump, At: 10 * time.Second, For: 6 * time.Second, Size: 1.3}}
+	return &d
+}
+
 // Builtin returns a built-in day by name; nil: there is none.
 func Builtin(name string) *Day {
 	switch name {
@@ -128,6 +137,8 @@
 		return BadDay()
 	case "quiet-day":
 		return QuietDay()
+	case "overload-day":
+		return OverloadDay()
 	}
 	return nil
 }
--- a/day/play.go
+++ b/day/play.go
@@ -17,6 +17,7 @@
 	"github.com/umbergauge/umbergauge/check"
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/daemon"
+	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/internal/config"
 	"github.com/umbergauge/umbergauge/isup"
 	"github.com/umbergauge/umbergauge/m3ua"
@@ -34,8 +35,15 @@
 	Slack time.Duration
 	// Margin is added to the guard that controllers keep, beyond that of the rule, for the same reason.
 	Margin time.Duration
+	// Hooks are scripts that every controller runs; with HooksOf, some run others.
+	Hooks   []hooks.Source
+	HooksOf func(exchange int) []hooks.Source
+	// Deadline of hooks; 0: as the settings' default.
+	Deadline time.Duration
 	// Watch, if set, is called about every second with the time of the day.
 	Watch func(at time.Duration)
+	// During, if set, runs beside the day and may do what operators do.
+	During func(ctx context.Context, d []*daemon.Daemon)
 }
 
 // Result is a played day.
@@ -147,6 +155,9 @@
 		return res, err
 	}
 	w.start = time.Now()
+	if w.opt.During != nil {
+		w.own(func() { w.opt.During(ctx, w.daemons) })
+	}
 	w.watch(ctx)
 	w.troubles(ctx)
 	w.offer(ctx)
@@ -238,11 +249,23 @@
 		if err != nil {
 			return err
 		}
+		if w.opt.Deadline > 0 {
+			cfg.Hooks.Deadline = w.opt.Deadline
+		}
 		dm, err := daemon.New(daemon.Options{Config: cfg, Log: w.opt.Log.With().Uint32("controller", x.pc).Logger(),
 			Dial: w.opt.Dial, Listen: w.opt.Listen, Module: w.opt.Module})
 		if err != nil {
 			return err
 		}
+		src := w.opt.Hooks
+		if w.opt.HooksOf != nil {
+			src = w.opt.HooksOf(i)
+		}
+		if len(src) > 0 {
+			if err := dm.PutHooks(src); err != nil {
+				return err
+			}
+		}
 		w.daemons = append(w.daemons, dm)
 		w.own(func() { dm.Run(ctx) })
 		var row []*standin.Client
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -352,6 +354,14 @@
 	}
 }
 
+// The page in the repository is the one that the tables make.
+func TestReferencePage(t *testing.T) {
+	b, err := os.ReadFile("../docs/operations/script-reference.md")
+	if err != nil || string(b) != Reference() {
+		t.Errorf("the page is old: umbergauge script reference > docs/operations/script-reference.md (%v)", err)
+	}
+}
+
 func TestFormat(t *testing.T) {
 	src := "const  m={\"a\":1 ,\"b\":-2}\n\n\n\n# on top\non   arrival{   # here\nif call.called matches 82* and not(1<-2){tag( \"x\" )}\nlet l=[1,2 , -3][0]\nfor i in 0 .. 3{\n# inside\n\nexclude2(i)\n\n}\n}\n"
 	src = strings.ReplaceAll(src, "exclude2(i)", "tag(text(i))")
@@ -558,3 +568,81 @@
 		}
 	})
 }
+
+// The bounded structures beside the plain ones that would be written first: a million events over 100,000 keys, Zipf.
+func BenchmarkState(b *testing.B) {
+	z := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 1, 99_999)
+	keys := make([]string, 1_000_000)
+	for i := range keys {
+		keys[i] = fmt.Sprint("82010", z.Uint64())
+	}
+	held := func(f func()) float64 { // octets still held after a million events
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		f()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		return float64(after.HeapAlloc - min(after.HeapAlloc, before.HeapAlloc))
+	}
+	const window = 10 * time.Second
+	b.Run("rate", func(b *testing.B) {
+		r := NewRates(window, 5000)
+		h := held(func() {
+			for i, k := range keys {
+				r.add(k, time.Duration(i)*10*time.Microsecond)
+			}
+		})
+		for i := 0; b.Loop(); i++ {
+			r.add(keys[i%len(keys)], window+time.Duration(i)*10*time.Microsecond)
+		}
+		b.ReportMetric(h, "B-held")
+		runtime.KeepAlive(r)
+	})
+	b.Run("map of times", func(b *testing.B) {
+		m := map[string][]time.Duration{}
+		add := func(k string, now time.Duration) {
+			l := m[k]
+			for len(l) > 0 && l[0] < now-window {
+				l = l[1:]
+			}
+			m[k] = append(l, now)
+		}
+		h := held(func() {
+			for i, k := range keys {
+				add(k, time.Duration(i)*10*time.Microsecond)
+			}
+		})
+		for i := 0; b.Loop(); i++ {
+			add(keys[i%len(keys)], window+time.Duration(i)*10*time.Microsecond)
+		}
+		b.ReportMetric(h, "B-held")
+		runtime.KeepAlive(m)
+	})
+	b.Run("top", func(b *testing.B) {
+		t := NewTop(200)
+		h := held(func() {
+			for _, k := range keys {
+				t.Add(k)
+			}
+		})
+		for i := 0; b.Loop(); i++ {
+			t.Add(keys[i%len(keys)])
+		}
+		b.ReportMetric(h, "B-held")
+		runtime.KeepAlive(t)
+	})
+	b.Run("map of counts", func(b *testing.B) {
+		m := map[string]int64{}
+		h := held(func() {
+			for _, k := range keys {
+				m[k]++
+			}
+		})
+		for i := 0; b.Loop(); i++ {
+			m[keys[i%len(keys)]]++
+		}
+		b.ReportMetric(h, "B-held")
+		runtime.KeepAlive(m)
+	})
+}
