--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,245 @@
+// Package admit decides, before anything costs much, which calls of which client may come in: set-ups a second and open calls
+// for each client and for all, shared fairly between clients when the whole is short. It does no I/O and reads no clock; it
+// says what it kept and why.
+//
+// The limits are the operators'. What calls a controller can serve is the module's to find out; this is the door in front of
+// it, so that one client's flood costs that client, and the others the least.
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+// Limits are those of one client, and of all together. Zero: no limit.
+type Limits struct {
+	Rate  float64 // set-ups a second
+	Burst float64 // set-ups at once; 0: those of one second
+	Open  int     // open calls
+}
+
+func (l Limits) burst() float64 {
+	if l.Burst > 0 {
+		return l.Burst
+	}
+	return max(1, l.Rate)
+}
+
+// Config is the limits of a door.
+type Config struct {
+	Client Limits // each client's
+	All    Limits
+}
+
+// Verdict is why a call is kept out, or In.
+type Verdict uint8
+
+// The verdicts.
+const (
+	In         Verdict = iota
+	ClientRate         // the client's own rate
+	ClientOpen         // the client's own open calls
+	WholeRate          // the whole is short and the client is beyond its fair part
+	WholeOpen
+)
+
+func (v Verdict) String() string {
+	return [...]string{"in", "client's rate", "client's open calls", "rate of all", "open calls of all"}[v]
+}
+
+// bucket is a token bucket: tokens come at a rate up to a burst.
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+func (b *bucket) fill(now time.Duration, rate, burst float64) {
+	if now > b.at {
+		b.tokens = min(burst, b.tokens+rate*(now-b.at).Seconds())
+	}
+	b.at = now
+}
+
+// Client is one client's account.
+type Client struct {
+	own    bucket
+	demand float64 // set-ups a second that it asks for, decayed
+	seen   time.Duration
+	fair   bucket // its part of the whole
+	open   int
+	Kept   [5]uint64 // calls by verdict
+	level  int
+	calm   time.Duration // since when nothing was kept out
+}
+
+// Door admits calls. It belongs to one goroutine.
+type Door struct {
+	cfg     Config
+	clients map[*Client]bool
+	whole   bucket
+	open    int
+	share   float64 // fair part of the whole for each client, set-ups a second; infinite while there is enough
+	next    time.Duration
+}
+
+// New makes a door.
+func New(cfg Config) *Door {
+	return &Door{cfg: cfg, clients: map[*Client]bool{}, whole: bucket{tokens: cfg.All.burst()}, share: math.Inf(1)}
+}
+
+// Join adds a client.
+func (d *Door) Join(now time.Duration) *Client {
+	c := &Client{own: bucket{d.cfg.Client.burst(), now}, seen: now, fair: bucket{0, now}}
+	d.clients[c] = true
+	return c
+}
+
+// Leave takes a client out, and its open calls with it.
+func (d *Door) Leave(c *Client) {
+	if d.clients[c] {
+		delete(d.clients, c)
+		d.open -= c.open
+		c.open = 0
+	}
+}
+
+// memory is over what time demand is measured, and how often parts are dealt out anew.
+const (
+	memory = time.Second
+	deal   = 100 * time.Millisecond
+)
+
+// Ask judges one set-up of a client. In: the call counts as open until Done.
+func (d *Door) Ask(c *Client, now time.Duration) Verdict {
+	v := d.judge(c, now)
+	c.Kept[v]++
+	if v == In {
+		c.open++
+		d.open++
+	} else {
+		c.calm = now
+	}
+	return v
+}
+
+func (d *Door) judge(c *Client, now time.Duration) Verdict {
+	c.decay(now)
+	c.demand += 1 / memory.Seconds()
+	if now >= d.next {
+		d.next = now + deal
+		d.dealOut(now)
+	}
+	own, all := d.cfg.Client, d.cfg.All
+	if own.Open > 0 && c.open >= own.Open {
+		return ClientOpen
+	}
+	if all.Open > 0 && d.open >= all.Open && c.open*len(d.clients) >= all.Open {
+		return WholeOpen // beyond its part; those within theirs still come in
+	}
+	if own.Rate > 0 {
+		c.own.fill(now, own.Rate, own.burst())
+		if c.own.tokens < 1 {
+			return ClientRate
+		}
+	}
+	if all.Rate > 0 {
+		d.whole.fill(now, all.Rate, all.burst())
+		c.fair.fill(now, min(d.share, all.Rate), max(1, min(d.share, all.Rate)*deal.Seconds()*2))
+		switch {
+		case c.fair.tokens >= 1: // within its part: the whole owes it that
+			c.fair.tokens--
+		case d.whole.tokens < 1 || !math.IsInf(d.share, 1):
+			return WholeRate
+		}
+		d.whole.tokens = max(-all.burst(), d.whole.tokens-1)
+	}
+	if own.Rate > 0 {
+		c.own.tokens--
+	}
+	return In
+}
+
+// Done notes that a call that came in is over.
+func (d *Door) Done(c *Client) {
+	if c.open > 0 {
+		c.open--
+		d.open--
+	}
+}
+
+func (c *Client) decay(now time.Duration) {
+	if now > c.seen {
+		c.demand *= math.Exp(-(now - c.seen).Seconds() / memory.Seconds())
+		c.seen = now
+	}
+}
+
+// dealOut finds the fair part: the highest cap that, kept by every client, fits into the whole (max-min fairness). Its cost
+// is that of the clients, ten times a second at the most.
+func (d *Door) dealOut(now time.Duration) {
+	d.share = math.Inf(1)
+	if d.cfg.All.Rate <= 0 {
+		return
+	}
+	total, n := 0.0, 0
+	for c := range d.clients {
+		c.decay(now)
+		total += c.demand
+		n++
+	}
+	if total <= d.cfg.All.Rate {
+		return
+	}
+	// Those who ask for less than the cap leave the rest to the others: a few rounds settle it.
+	left, share := d.cfg.All.Rate, 0.0
+	for range 16 {
+		share = left
+		used, big := 0.0, 0
+		for c := range d.clients {
+			if c.demand <= d.share {
+				used += min(c.demand, d.share)
+			} else {
+				big++
+			}
+		}
+		if math.IsInf(d.share, 1) {
+			share = d.cfg.All.Rate / float64(n)
+		} else if big > 0 {
+			share = (d.cfg.All.Rate - used) / float64(big)
+		} else {
+			break
+		}
+		if math.Abs(share-d.share) < 1e-6*share {
+			break
+		}
+		d.share = share
+	}
+}
+
+// Level is the congestion level that a client is told (SCON, RFC 4666, 3.4.4): 0 while it has had nothing kept out for a
+// second, 1 while a little, 2 while half, 3 while most of its calls of the last second are kept out. changed tells that it
+// is not the level told last.
+func (d *Door) Level(c *Client, now time.Duration) (level int, changed bool) {
+	c.decay(now)
+	allowed := c.demand
+	if l := d.cfg.Client.Rate; l > 0 {
+		allowed = min(allowed, l)
+	}
+	allowed = min(allowed, d.share)
+	switch kept := 1 - allowed/max(c.demand, 1e-9); {
+	case c.calm == 0 || now-c.calm > memory || kept <= 0.01:
+		level = 0
+	case kept < 0.33:
+		level = 1
+	case kept < 0.66:
+		level = 2
+	default:
+		level = 3
+	}
+	changed = level != c.level
+	c.level = level
+	return level, changed
+}
+
+// Open is the number of a client's open calls.
+func (c *Client) Open() int { return c.open }
--- a/day/play.go
+++ b/day/play.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,6 +39,8 @@
 	// Hooks are scripts that every controller runs; with HooksOf, some run others.
 	Hooks   []hooks.Source
 	HooksOf func(exchange int) []hooks.Source
+	// Fault, if set, is asked about each frame on a stand-in's socket; u is nil where there is no ISUP message. One at a time.
+	Fault func(k record.Kind, fromController bool, m *m3ua.Message, u *isup.Message) standin.Fault
 	// Deadline of hooks; 0: as the settings' default.
 	Deadline time.Duration
 	// Watch, if set, is called about every second with the time of the day.
@@ -73,6 +76,8 @@
 	start    time.Time
 	listMu   sync.Mutex // of addrs and listRng
 	listRng  *rand.Rand
+	faultMu  sync.Mutex
+	begun    atomic.Bool
 }
 
 // Spec is what the checker of this day takes for right.
@@ -136,6 +141,9 @@
 	defer cancel()
 	w := &world{day: d, plan: d.plan(), opt: opt, log: record.New(), listRng: d.stream(forList)}
 	w.net = &standin.Net{Dial: opt.Dial, Listen: opt.Listen, Log: w.log}
+	if opt.Fault != nil {
+		w.net.Faults = w.fault
+	}
 	defer func() {
 		cancel()
 		for _, row := range w.clients {
@@ -155,6 +163,7 @@
 		return res, err
 	}
 	w.start = time.Now()
+	w.begun.Store(true)
 	if w.opt.During != nil {
 		w.own(func() { w.opt.During(ctx, w.daemons) })
 	}
@@ -193,6 +202,21 @@
 	return res, nil
 }
 
+// fault asks the script of faults about a frame, once the day has begun.
+func (w *world) fault(k record.Kind, fromController bool, frame []byte) standin.Fault {
+	w.faultMu.Lock()
+	defer w.faultMu.Unlock()
+	var m m3ua.Message
+	var u isup.Message
+	if !w.begun.Load() || m3ua.Decode(frame, &m) != nil {
+		return standin.Pass
+	}
+	if m.Kind != m3ua.DATA || isup.Decode(m.Data.User, &u) != nil {
+		return w.opt.Fault(k, fromController, &m, nil)
+	}
+	return w.opt.Fault(k, fromController, &m, &u)
+}
+
 // sleep waits; false: ctx has ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/record/record.go
+++ b/record/record.go
@@ -81,6 +81,13 @@
 	return int32(len(l.links) - 1)
 }
 
+// Kind is the kind of a link.
+func (l *Log) Kind(link int32) Kind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[link].Kind
+}
+
 // Close notes the end of a link.
 func (l *Log) Close(link int32) {
 	l.mu.Lock()
--- a/standin/net.go
+++ b/standin/net.go
@@ -21,12 +21,25 @@
 	Listen func(addr string) (net.Listener, error)
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Log    *record.Log
+	// Faults, if set, is asked about each frame that passes a socket; fromController tells its direction. It is called from
+	// many goroutines.
+	Faults func(k record.Kind, fromController bool, frame []byte) Fault
 
 	mu    sync.Mutex
 	delay func(a, b uint32) time.Duration
 	cut   map[[2]uint32]int
 }
 
+// Fault is what befalls a frame.
+type Fault uint8
+
+// The faults.
+const (
+	Pass        Fault = iota
+	ResetBefore       // the connection breaks and the frame is lost
+	ResetAfter        // the frame passes, then the connection breaks
+)
+
 // SetDelay sets the one-way time between exchanges.
 func (n *Net) SetDelay(f func(a, b uint32) time.Duration) {
 	n.mu.Lock()
@@ -160,16 +173,31 @@
 		Data: m3ua.ProtocolData{OPC: opc, DPC: dpc, SI: m3ua.ServiceISUP, NI: 2, SLS: byte(m.CIC & 15), User: isup.Append(nil, m)}})
 }
 
+func (w *wire) fault(link int32, fromController bool, f []byte) Fault {
+	if w.net.Faults == nil || link < 0 {
+		return Pass
+	}
+	return w.net.Faults(w.net.Log.Kind(link), fromController, f)
+}
+
 // writer writes frames to the socket as they come out of the way.
 func (w *wire) writer() {
 	w.carry(w.out, w.done, func(f []byte) bool {
 		w.mu.Lock()
 		link := w.link
 		w.mu.Unlock()
+		fault := w.fault(link, false, f)
+		if fault == ResetBefore {
+			w.close()
+			return false
+		}
 		if link >= 0 {
 			w.net.Log.Frame(link, false, f)
 		}
 		_, err := w.conn.Write(f)
+		if fault == ResetAfter {
+			w.close()
+		}
 		return err == nil
 	})
 }
@@ -195,6 +223,12 @@
 		w.mu.Lock()
 		link := w.link
 		w.mu.Unlock()
+		fault := w.fault(link, true, f)
+		if fault == ResetBefore { // the controller has sent it, and nobody has it
+			w.net.Log.Frame(link, true, f)
+			w.close()
+			return
+		}
 		if link >= 0 {
 			w.net.Log.Frame(link, true, f)
 		}
@@ -204,5 +238,10 @@
 		case <-w.done:
 			return
 		}
+		if fault == ResetAfter {
+			w.conn.Close() // what is on its way still arrives
+			w.closed()
+			return
+		}
 	}
 }
