--- a/admit/admit.go
+++ b/admit/admit.go
@@ -64,12 +64,12 @@
 type Client struct {
 	own    bucket
 	demand float64 // set-ups a second that it asks for, decayed
+	out    float64 // ... and of them those that are kept out
 	seen   time.Duration
 	fair   bucket // its part of the whole
 	open   int
 	Kept   [5]uint64 // calls by verdict
 	level  int
-	calm   time.Duration // since when nothing was kept out
 }
 
 // Door admits calls. It belongs to one goroutine.
@@ -103,10 +103,13 @@
 	}
 }
 
-// memory is over what time demand is measured, and how often parts are dealt out anew.
+// Demand is measured over memory, parts are dealt out anew each deal. A client may have fairBurst calls of its part in hand,
+// and never fewer than a few: calls come by chance, and a small client's two in one second are no flood.
 const (
-	memory = time.Second
-	deal   = 100 * time.Millisecond
+	memory    = 4 * time.Second
+	deal      = 100 * time.Millisecond
+	fairBurst = time.Second
+	fewCalls  = 4
 )
 
 // Ask judges one set-up of a client. In: the call counts as open until Done.
@@ -117,7 +120,7 @@
 		c.open++
 		d.open++
 	} else {
-		c.calm = now
+		c.out += 1 / memory.Seconds()
 	}
 	return v
 }
@@ -144,7 +147,7 @@
 	}
 	if all.Rate > 0 {
 		d.whole.fill(now, all.Rate, all.burst())
-		c.fair.fill(now, min(d.share, all.Rate), max(1, min(d.share, all.Rate)*deal.Seconds()*2))
+		c.fair.fill(now, min(d.share, all.Rate), max(fewCalls, min(d.share, all.Rate)*fairBurst.Seconds()))
 		switch {
 		case c.fair.tokens >= 1: // within its part: the whole owes it that
 			c.fair.tokens--
@@ -169,7 +172,8 @@
 
 func (c *Client) decay(now time.Duration) {
 	if now > c.seen {
-		c.demand *= math.Exp(-(now - c.seen).Seconds() / memory.Seconds())
+		left := math.Exp(-(now - c.seen).Seconds() / memory.Seconds())
+		c.demand, c.out = c.demand*left, c.out*left
 		c.seen = now
 	}
 }
@@ -216,22 +220,17 @@
 	}
 }
 
-// Level is the congestion level that a client is told (SCON, RFC 4666, 3.4.4): 0 while it has had nothing kept out for a
-// second, 1 while a little, 2 while half, 3 while most of its calls of the last second are kept out. changed tells that it
-// is not the level told last.
+// Level is the congestion level that a client is told (SCON, RFC 4666, 3.4.4): 0 while next to nothing of its calls of the
+// last seconds is kept out, 1 while less than a third, 2 while less than two, 3 beyond. changed tells that it is not the
+// level told last.
 func (d *Door) Level(c *Client, now time.Duration) (level int, changed bool) {
 	c.decay(now)
-	allowed := c.demand
-	if l := d.cfg.Client.Rate; l > 0 {
-		allowed = min(allowed, l)
-	}
-	allowed = min(allowed, d.share)
-	switch kept := 1 - allowed/max(c.demand, 1e-9); {
-	case c.calm == 0 || now-c.calm > memory || kept <= 0.01:
+	switch kept := c.out / max(c.demand, 1e-9); {
+	case kept <= 0.02 || c.out < 0.02:
 		level = 0
-	case kept < 0.33:
+	case kept < 1.0/3:
 		level = 1
-	case kept < 0.66:
+	case kept < 2.0/3:
 		level = 2
 	default:
 		level = 3
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/umbergauge/umbergauge/admit"
 	"github.com/umbergauge/umbergauge/brain"
 	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/isup"
+	"github.com/umbergauge/umbergauge/m3ua"
 	"github.com/umbergauge/umbergauge/script"
 	"github.com/umbergauge/umbergauge/trunk"
 )
@@ -85,7 +87,7 @@
 func (c *Core) clearLeg(l *leg, cause isup.Cause, loc isup.Location) {
 	l.cause = cause
 	l.timer = c.wheel.Set(c.now+c.cfg.ClientT1, alarm{kind: legTimer, leg: l})
-	c.toClient(l, &isup.Message{Type: isup.REL, Cause: cause, Location: loc})
+	c.toClient(l, &isup.Message{Type: isup.REL, Cause: cause, Location: loc, Congestion: l.congestion})
 }
 
 // legRepeats is how often REL is sent again before the circuit is given up: the client's own T5 or reset clears it.
@@ -162,8 +164,35 @@
 	return k, 0
 }
 
+// keptOut asks the doors about a set-up, before anything is spent on it. What is kept out is released at once, with the
+// congestion level of its client (Q.763, 3.4), and the client is told by SCON when that changes.
+func (c *Core) keptOut(l *leg) bool {
+	a := l.assoc
+	v := c.door.Ask(a.door, c.now)
+	if v == admit.In && a.peer.Tenant < len(c.accounts) {
+		if v = c.tenants.Ask(c.accounts[a.peer.Tenant], c.now); v != admit.In {
+			c.door.Done(a.door)
+		}
+	}
+	level, changed := c.door.Level(a.door, c.now)
+	if changed {
+		c.frame = m3ua.Append(c.frame[:0], &m3ua.Message{Kind: m3ua.SCON, Affected: []m3ua.Affected{{PC: c.cfg.PointCode}}, Congestion: byte(level)})
+		c.port.Send(a.id, c.frame)
+	}
+	if v == admit.In {
+		return false
+	}
+	c.Counters.KeptOut++
+	l.congestion = byte(min(max(level, 1), 2))
+	c.clearLeg(l, isup.CauseCongestion, isup.LocationNetwork)
+	return true
+}
+
 // offer hands a client's call to the module.
 func (c *Core) offer(l *leg, m *isup.Message) {
+	if c.keptOut(l) {
+		return
+	}
 	cut := c.wasCut(m)
 	var set *hooks.Set
 	if c.cfg.Hooks != nil {
@@ -171,12 +200,17 @@
 	}
 	k, cause := c.newCall(m, false, set)
 	if k == nil {
+		c.door.Done(l.assoc.door)
+		if l.assoc.peer.Tenant < len(c.accounts) {
+			c.tenants.Done(c.accounts[l.assoc.peer.Tenant])
+		}
 		c.Counters.Refused++
 		c.port.Ended(Ending{Outcome: Refused, Class: int(c.classOf[m.Category]), Tenant: l.assoc.peer.Tenant, Called: m.Called, Cause: cause})
 		c.clearLeg(l, cause, isup.LocationNetwork)
 		return
 	}
 	k.leg, l.call, k.tenant = l, k, l.assoc.peer.Tenant
+	k.door, k.account = l.assoc.door, l.assoc.peer.Tenant
 	c.Counters.Offered++
 	k.cut = cut
 	c.calls[k.id] = k
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/umbergauge/umbergauge/admit"
 	"github.com/umbergauge/umbergauge/brain"
 	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/isup"
@@ -38,6 +39,10 @@
 	Trunk        trunk.Timers
 	ClientT1     time.Duration // REL to a client without RLC is sent again, five times
 
+	// Admit is the door in front of the module: limits of each client and of all, and of each tenant.
+	Admit  admit.Config
+	Tenant admit.Limits
+
 	// Hooks are the scripts' hooks; nil: there are none.
 	Hooks Hooks
 	// HookDeadline is how long a call waits for its hooks, before it goes on as without them.
@@ -106,6 +111,10 @@
 	Address string // of a switch: where it was reached
 	Tenant  int    // of a client
 	Name    string
+	// ASP is a client's ASP identifier. With Override (RFC 4666, 4.3.4.3) the association takes the place of every other one
+	// of that identifier: a client that comes again while its old connection is half open says so.
+	ASP      uint32
+	Override bool
 }
 
 // Port is where a controller's frames go. Its methods don't block.
@@ -160,6 +169,7 @@
 type Counters struct {
 	Offered, Transit, Attempts, Established, Refused, Failed, Left, Finished, Cut uint64
 	TimedOut, NoContact, NotSent, LateAnswers, Malformed, Unexpected, QueueFull   uint64
+	KeptOut                                                                       uint64
 	HookAsked, HookLate, HookBusy, HookRefused                                    uint64
 }
 
@@ -190,8 +200,10 @@
 	sentAt   time.Duration
 	timeOut  timer.Handle
 	via      uint32
-	cut      bool // it stood, was cut and comes again
-	progress bool // ACM has been passed back
+	cut      bool          // it stood, was cut and comes again
+	door     *admit.Client // its client's account; nil in transit
+	account  int           // its client's tenant, whatever hooks make of it
+	progress bool          // ACM has been passed back
 	cause    isup.Cause
 	loc      isup.Location
 
@@ -220,6 +232,8 @@
 	cause   isup.Cause
 	repeats int
 	timer   timer.Handle
+	// congestion is the automatic congestion level that its REL carries; 0: none
+	congestion byte
 }
 
 type assoc struct {
@@ -227,6 +241,7 @@
 	peer Peer
 	far  *far
 	legs map[uint64]*leg // of a client
+	door *admit.Client
 }
 
 // far is another exchange.
@@ -287,6 +302,9 @@
 	byPC      map[uint32]*far
 	byAddr    map[string]*far
 	assocs    map[Assoc]*assoc
+	door      *admit.Door
+	tenants   *admit.Door
+	accounts  []*admit.Client // of tenants
 	own       *assoc
 	classOf   [256]uint8
 	dirty     []*far
@@ -328,6 +346,10 @@
 	c := &Core{cfg: cfg, port: port, module: module, now: now, wheel: timer.New[alarm](now, time.Millisecond),
 		calls: map[uint64]*call{}, byPC: map[uint32]*far{}, byAddr: map[string]*far{}, assocs: map[Assoc]*assoc{},
 		cuts: map[pair]time.Duration{}}
+	c.door, c.tenants = admit.New(cfg.Admit), admit.New(admit.Config{Client: cfg.Tenant})
+	for range cfg.Tenants {
+		c.accounts = append(c.accounts, c.tenants.Join(now))
+	}
 	for i, cl := range cfg.Classes {
 		for _, cat := range cl.Categories {
 			c.classOf[cat] = uint8(i)
@@ -525,7 +547,10 @@
 	a := &assoc{id: id, peer: p}
 	switch p.Kind {
 	case Client:
-		a.legs = map[uint64]*leg{}
+		a.legs, a.door = map[uint64]*leg{}, c.door.Join(now)
+		if p.Override && p.ASP != 0 {
+			c.supersede(now, p.ASP)
+		}
 	case FarSwitch:
 		f := c.byPC[p.PC]
 		if f == nil {
@@ -567,6 +592,21 @@
 	}
 }
 
+// supersede ends every other association of a client: their calls are over before the new one brings any.
+func (c *Core) supersede(now time.Duration, asp uint32) {
+	var old []Assoc
+	for id, a := range c.assocs {
+		if a.peer.Kind == Client && a.peer.ASP == asp {
+			old = append(old, id)
+		}
+	}
+	slices.Sort(old)
+	for _, id := range old {
+		c.port.Close(id, "the client has come again")
+		c.Down(now, id)
+	}
+}
+
 // moved notes that an exchange's switch was reached under another address: another machine, cold until proven warm.
 func (c *Core) moved(f *far, address string) {
 	old := f.Address
@@ -601,6 +641,7 @@
 	delete(c.assocs, id)
 	switch a.peer.Kind {
 	case Client: // its callers are gone with it
+		defer c.door.Leave(a.door)
 		for _, l := range a.legs {
 			if l.call != nil {
 				k := l.call
@@ -892,6 +933,12 @@
 	}
 	k.phase = over
 	delete(c.calls, k.id)
+	if k.door != nil {
+		c.door.Done(k.door)
+		if k.account < len(c.accounts) {
+			c.tenants.Done(c.accounts[k.account])
+		}
+	}
 	if k.asking != askNone {
 		c.wheel.Stop(k.askTime)
 	}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/umbergauge/umbergauge/admit"
 	"github.com/umbergauge/umbergauge/brain"
 	"github.com/umbergauge/umbergauge/isup"
 	"github.com/umbergauge/umbergauge/m3ua"
@@ -779,3 +780,91 @@
 		b.Fatalf("%d open", c.Open())
 	}
 }
+
+// Limits keep a client's flood out at once, with cause 42, its congestion level, and one SCON for each change.
+func TestKeptOut(t *testing.T) {
+	r := newRig(t, 100, func(c *Config) { c.Admit.Client = admit.Limits{Rate: 10, Burst: 5} })
+	for cic := uint16(1); cic <= 20; cic++ {
+		r.offer(cic, "2001")
+	}
+	if n := len(r.take(two)); n != 5 {
+		t.Errorf("%d set-ups", n)
+	}
+	kept := r.take(client)
+	if len(kept) != 15 {
+		t.Fatalf("%v", types(kept))
+	}
+	for _, m := range kept {
+		if m.Type != isup.REL || m.Cause != isup.CauseCongestion || m.Congestion == 0 {
+			t.Errorf("%+v", m)
+		}
+	}
+	if n := len(r.mgmt[client]); n < 1 || n > 3 || r.mgmt[client][n-1].Kind != m3ua.SCON || r.mgmt[client][n-1].Congestion == 0 {
+		t.Errorf("%+v", r.mgmt[client])
+	}
+	other := Assoc(110)
+	r.c.Up(r.now, other, Peer{Kind: Client, Name: "d"})
+	r.from(other, 901, iam(1, "2001"))
+	r.one(two, isup.IAM)
+	if c := r.c.Counters; c.KeptOut != 15 || c.Offered != 6 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Open calls count until they are over, however they end.
+func TestOpenLimit(t *testing.T) {
+	r := newRig(t, 100, func(c *Config) {
+		c.Admit.Client = admit.Limits{Open: 2}
+		c.Tenants, c.Tenant = []string{"x"}, admit.Limits{Open: 2}
+	})
+	out := map[uint16]uint16{}
+	for cic := uint16(1); cic <= 2; cic++ {
+		r.offer(cic, "2001")
+		out[cic] = r.one(two, isup.IAM).CIC
+	}
+	r.offer(3, "2001")
+	r.one(client, isup.REL)
+	r.from(two, 2, isup.Message{Type: isup.REL, CIC: out[1], Cause: isup.CauseUserBusy})
+	r.take(two)
+	r.one(client, isup.REL)
+	r.offer(4, "2004")
+	r.one(two, isup.IAM)
+	r.from(client, 900, isup.Message{Type: isup.REL, CIC: 2, Cause: 16})
+	r.offer(5, "77") // never taken: it holds no place
+	r.take(client)
+	r.take(two)
+	r.offer(6, "2006")
+	r.one(two, isup.IAM)
+	r.c.Down(r.now, client)
+	if r.c.door.Ask(r.c.door.Join(r.now), r.now) != admit.In || r.c.accounts[0].Open() != 0 {
+		t.Errorf("%d open of the tenant", r.c.accounts[0].Open())
+	}
+}
+
+// A client that comes again with override ends its old connection and the calls there, before it brings new ones; one
+// without shares the load.
+func TestClientComesAgain(t *testing.T) {
+	r := newRig(t, 10)
+	first, second, third := Assoc(110), Assoc(111), Assoc(112)
+	r.c.Up(r.now, first, Peer{Kind: Client, ASP: 7})
+	r.from(first, 900, iam(1, "2001"))
+	r.one(two, isup.IAM)
+	r.c.Up(r.now, second, Peer{Kind: Client, ASP: 7})
+	r.none(two)
+	r.c.Up(r.now, third, Peer{Kind: Client, ASP: 7, Override: true})
+	if m := r.one(two, isup.REL); m.Cause != isup.CauseNormal {
+		t.Errorf("%+v", m)
+	}
+	if r.closed[first] == "" || r.closed[second] == "" || r.closed[third] != "" {
+		t.Errorf("%v", r.closed)
+	}
+	r.from(third, 900, iam(1, "2001"))
+	r.one(two, isup.IAM)
+	if r.c.Open() != 1 {
+		t.Errorf("%d open", r.c.Open())
+	}
+	r.c.Down(r.now, first) // word of the old one's end comes later
+	if r.c.Open() != 1 {
+		t.Error("the new one's call is gone")
+	}
+}
--- a/daemon/connect.go
+++ b/daemon/connect.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
 
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/internal/config"
@@ -91,6 +92,8 @@
 // accept takes clients.
 func (d *Daemon) accept(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() { d.listener.Close() })()
+	// A storm of connections is spread by those who are turned away and try again.
+	handshakes := rate.NewLimiter(rate.Limit(d.cfg.Limits.Handshakes), max(1, int(d.cfg.Limits.Handshakes)))
 	for {
 		conn, err := d.listener.Accept()
 		if err != nil {
@@ -106,7 +109,7 @@
 			}
 			continue
 		}
-		if int(d.clients.Add(1)) > d.cfg.Limits.Clients {
+		if int(d.clients.Add(1)) > d.cfg.Limits.Clients || !handshakes.Allow() {
 			d.clients.Add(-1)
 			d.metrics.turnedAway.Inc()
 			conn.Close()
--- a/daemon/link.go
+++ b/daemon/link.go
@@ -186,7 +186,7 @@
 			l.mu.Lock()
 			outcome := l.asp.Handle(now, &m)
 			asked := len(l.asp.Out) > 0
-			id := l.asp.ID()
+			id, override := l.asp.ID(), l.asp.Override()
 			l.mu.Unlock()
 			if asked {
 				select {
@@ -198,6 +198,9 @@
 			case m3ua.Deliver:
 				*batch = append(*batch, frame...)
 			case m3ua.Activated:
+				if l.peer.Kind == controller.Client {
+					l.peer.ASP, l.peer.Override = id, override
+				}
 				if l.peer.Kind == controller.Client && !l.d.peers.admit(l, id) {
 					l.close("an ASP identifier that is not in the settings")
 					return
--- a/day/draw.go
+++ b/day/draw.go
@@ -74,6 +74,9 @@
 			x.Size = between(0.1, 0.3)
 		case Impatient:
 			x.Size = between(0.1, 0.3)
+		case ClientFlood:
+			x.Size = between(4, 10)
+			d.Traffic.Tenants, d.Traffic.Door = []Tenant{{"city", 0.2}, {"town", 0.4}, {"ward", 0.4}}, 1.2
 		case ListLate:
 			x.Size, x.For, x.At = between(3, 8), d.Length, 0
 		case Replace:
--- a/day/play.go
+++ b/day/play.go
@@ -112,6 +112,20 @@
 	for _, x := range d.Traffic.Classes {
 		c.Classes = append(c.Classes, config.Class{Name: x.Name, Aim: x.Aim, Patience: x.Patience, Worth: x.Worth, LateWorth: x.LateWorth, Categories: []int{x.Category}})
 	}
+	if d.Traffic.Door > 0 {
+		c.Limits.All.Rate = d.Traffic.Door * d.Traffic.Planned * p.streams[self]
+	}
+	if d.Traffic.ClientDoor > 0 {
+		most, all := 1.0, 1.0
+		if len(d.Traffic.Tenants) > 0 {
+			most, all = 0, 0
+			for _, x := range d.Traffic.Tenants {
+				most, all = max(most, x.Share), all+x.Share
+			}
+		}
+		c.Limits.Client.Rate = d.Traffic.ClientDoor * d.Traffic.Planned * p.streams[self] * most / all
+		c.Limits.Client.Burst = max(5, c.Limits.Client.Rate)
+	}
 	for t, x := range d.Traffic.Tenants {
 		c.Tenants = append(c.Tenants, config.Tenant{Name: x.Name, Quota: x.Share * d.Traffic.Planned})
 		c.Clients = append(c.Clients, config.Client{Name: x.Name, ASP: clientPC(self, t), Tenant: x.Name})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 
+	"github.com/umbergauge/umbergauge/admit"
 	"github.com/umbergauge/umbergauge/brain"
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/isup"
@@ -133,11 +134,24 @@
 
 // Limits bound what the daemon holds.
 type Limits struct {
-	Calls   int `yaml:"calls"`
-	Clients int `yaml:"clients"`
-	Events  int `yaml:"events"`
+	Calls      int     `yaml:"calls"`
+	Clients    int     `yaml:"clients"`
+	Events     int     `yaml:"events"`
+	Handshakes float64 `yaml:"handshakes"` // new connections a second
+	Client     Door    `yaml:"client"`     // of each client
+	Tenant     Door    `yaml:"tenant"`     // of each tenant
+	All        Door    `yaml:"all"`        // of all clients together, shared fairly
 }
 
+// Door limits set-ups. Zero: no limit.
+type Door struct {
+	Rate  float64 `yaml:"rate"`
+	Burst float64 `yaml:"burst"`
+	Open  int     `yaml:"open"`
+}
+
+func (d Door) limits() admit.Limits { return admit.Limits{Rate: d.Rate, Burst: d.Burst, Open: d.Open} }
+
 // Default has the values of keys that a file may leave out.
 func Default() Config {
 	return Config{
@@ -147,7 +161,7 @@
 		Timers: Timers{15 * time.Second, 5 * time.Minute, 15 * time.Second, 10 * time.Second, 10 * time.Second},
 		Association: Association{2 * time.Second, 3, 5 * time.Second, 10 * time.Second, 2 * time.Second, 5 * time.Second,
 			100 * time.Millisecond, 5 * time.Second, 1 << 20},
-		Limits: Limits{100_000, 1000, 4096},
+		Limits: Limits{Calls: 100_000, Clients: 1000, Events: 4096, Handshakes: 200},
 		Hooks:  Hooks{Deadline: 20 * time.Millisecond, Workers: 2, Queue: 1024},
 	}
 }
@@ -352,6 +366,10 @@
 	v.Must(c.Limits.Calls >= 1 && c.Limits.Calls <= 1<<30, "limits.calls", "%d; 1 to 2^30 can be", c.Limits.Calls)
 	v.Must(c.Limits.Clients >= 1, "limits.clients", "%d; it must be 1 at the least", c.Limits.Clients)
 	v.Must(c.Limits.Events >= 1 && c.Limits.Events <= 1<<20, "limits.events", "%d; 1 to 2^20 can be", c.Limits.Events)
+	v.Must(c.Limits.Handshakes > 0, "limits.handshakes", "%v; it must be above 0", c.Limits.Handshakes)
+	for key, d := range map[string]Door{"client": c.Limits.Client, "tenant": c.Limits.Tenant, "all": c.Limits.All} {
+		v.Must(d.Rate >= 0 && d.Burst >= 0 && d.Open >= 0, "limits."+key, "a negative limit")
+	}
 	v.span("hooks.deadline", c.Hooks.Deadline, time.Millisecond, time.Second)
 	v.Must(c.Hooks.Workers >= 1 && c.Hooks.Workers <= 64, "hooks.workers", "%d; 1 to 64 can be", c.Hooks.Workers)
 	v.Must(c.Hooks.Queue >= 1 && c.Hooks.Queue <= 1<<16, "hooks.queue", "%d; 1 to 65536 can be", c.Hooks.Queue)
@@ -451,6 +469,7 @@
 	}
 	out.Exchanges = c.ExchangeList()
 	out.HookDeadline = c.Hooks.Deadline
+	out.Admit, out.Tenant = admit.Config{Client: c.Limits.Client.limits(), All: c.Limits.All.limits()}, c.Limits.Tenant.limits()
 	return out
 }
 
--- a/m3ua/asp.go
+++ b/m3ua/asp.go
@@ -63,6 +63,7 @@
 	state   State
 	id      uint32
 	context uint32
+	traffic uint32
 	want    Kind // acknowledgement awaited; 0: none
 	tries   int
 	due     time.Duration // of the acknowledgement
@@ -92,6 +93,9 @@
 // State is the present state.
 func (a *ASP) State() State { return a.state }
 
+// Override tells, on the answering end, that the peer asked for traffic mode override (RFC 4666, 4.3.4.3).
+func (a *ASP) Override() bool { return a.traffic == TrafficOverride }
+
 // ID is the ASP identifier, of the peer on the answering end.
 func (a *ASP) ID() uint32 { return a.id }
 
@@ -170,7 +174,7 @@
 			return Nothing
 		}
 		was := a.state
-		a.state, a.want = Active, 0
+		a.state, a.want, a.traffic = Active, 0, m.Traffic
 		a.send(&Message{Kind: ASPACAck, Traffic: m.Traffic, HasContext: m.HasContext, Context: m.Context})
 		if was != Active {
 			a.send(&Message{Kind: NTFY, StatusType: StatusASState, StatusInfo: InfoASActive})
