--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -468,7 +468,15 @@
 	case isup.UBL:
 		g.block(m.CIC, false, false)
 	case isup.CGB, isup.CGU:
-		g.eachStatus(m, func(cic uint16) { g.block(cic, m.Type == isup.CGB, m.Supervision == isup.Hardware) })
+		g.eachStatus(m, func(cic uint16) {
+			hardware := m.Supervision == isup.Hardware
+			if hardware && m.Type == isup.CGB && g.circuits[cic].state == Outgoing {
+				// The far switch may not know: it is told that our call is over, before another attempt is made.
+				g.lose(cic, Hardware)
+				g.Release(cic, isup.CauseTemporary, isup.LocationNetwork)
+			}
+			g.block(cic, m.Type == isup.CGB, hardware)
+		})
 	case isup.CQR:
 		g.response(m, false)
 	}
