--- a/cmd/umbergauge/main.go
+++ b/cmd/umbergauge/main.go
@@ -29,7 +29,7 @@
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
 	}
-	c.AddCommand(runCommand(), checkCommand(), dayCommand(), scriptCommand(), benchCommand())
+	c.AddCommand(runCommand(), checkCommand(), dayCommand(), scriptCommand(), loadCommand(), benchCommand())
 	return c
 }
 
--- a/controller/session_test.go
+++ b/controller/session_test.go
@@ -23,7 +23,8 @@
 // out, and none within the guard.
 type watch struct {
 	*rig
-	rng *rand.Rand
+	rng  *rand.Rand
+	seed uint64
 	// by client circuit: the call's reference; final: it has had its answer
 	calls map[uint16]*watched
 	byRef map[uint32]*watched
@@ -44,7 +45,7 @@
 
 func (w *watch) fail(format string, args ...any) {
 	w.t.Helper()
-	w.t.Errorf("at %v: %s", w.now, fmt.Sprintf(format, args...))
+	w.t.Errorf("session %d at %v: %s", w.seed, w.now, fmt.Sprintf(format, args...))
 }
 
 func key(a Assoc, cic uint16) string { return fmt.Sprint(a, "/", cic) }
@@ -116,7 +117,7 @@
 }
 
 func newWatch(t *testing.T, seed uint64) *watch {
-	w := &watch{rig: newRig(t, 6, func(c *Config) { c.Classes[0].Patience, c.Classes[1].Patience = 2*sec, 2*sec }), rng: rand.New(rand.NewPCG(seed, 1)),
+	w := &watch{rig: newRig(t, 6, func(c *Config) { c.Classes[0].Patience, c.Classes[1].Patience = 2*sec, 2*sec }), rng: rand.New(rand.NewPCG(seed, 1)), seed: seed,
 		calls: map[uint16]*watched{}, byRef: map[uint32]*watched{}, out: map[string]*watched{}, assoc: map[Assoc]bool{two: true, three: true, own: true}}
 	return w
 }
