--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -379,10 +379,13 @@
 // FromFar takes a message of the far switch about circuits: RLC, REL, all of supervision, and the answers to a set-up
 // where no call of the owner's is on the circuit. Answers to its calls are the owner's.
 func (g *Group) FromFar(m *isup.Message) {
-	if !g.has(m.CIC) {
+	if !g.has(m.CIC) && !ofGroup(m.Type) {
 		return
 	}
-	c := &g.circuits[m.CIC]
+	c := &g.circuits[0] // nobody's; a group message may begin below or end beyond the circuits that there are
+	if g.has(m.CIC) {
+		c = &g.circuits[m.CIC]
+	}
 	switch m.Type {
 	case isup.REL: // of a call that we know nothing of, or crossing our own REL
 		g.toFar(isup.RLC, m.CIC)
@@ -439,10 +442,19 @@
 	}
 }
 
+// ofGroup tells that a message names a range of circuits.
+func ofGroup(t isup.Type) bool {
+	switch t {
+	case isup.GRS, isup.GRA, isup.CGB, isup.CGU, isup.CGBA, isup.CGUA, isup.CQM, isup.CQR:
+		return true
+	}
+	return false
+}
+
 // FromOwn takes a message that the own switch passes on from the far controller, or its own answer to a query. The own
 // switch has answered the far end itself.
 func (g *Group) FromOwn(m *isup.Message) {
-	if !g.has(m.CIC) {
+	if !g.has(m.CIC) && !ofGroup(m.Type) {
 		return
 	}
 	switch m.Type {
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// A group message may begin below or end beyond the circuits that there are: those that are meant are dealt with.
+func TestGroupMessageBeyondTheGroup(t *testing.T) {
+	g := group(t, 1, 2, 4)
+	cic, _ := g.Seize(7)
+	g.FromFar(&isup.Message{Type: isup.GRS, CIC: 0, Range: 31})
+	acts := take(g)
+	if l, ok := find[Lost](acts); !ok || l.Call != 7 || l.CIC != cic {
+		t.Errorf("%+v", l)
+	}
+	if m, ok := find[ToFar](acts); !ok || m.Msg.Type != isup.GRA || m.Msg.CIC != 0 {
+		t.Errorf("%+v", m)
+	}
+	g.FromOwn(&isup.Message{Type: isup.CGB, CIC: 3, Range: 9, Supervision: isup.Hardware, Status: []byte{0xff, 3}})
+	if g.Free() != 2 {
+		t.Errorf("%d free", g.Free())
+	}
+}
+
 // Signalling is lost with a call being set up and two standing; the far switch still knows one of them.
 func TestSignallingLost(t *testing.T) {
 	g := group(t, 1, 2, 40)
