--- /dev/null
+++ b/cmd/umbergauge/capture.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/umbergauge/umbergauge/capture"
+	"github.com/umbergauge/umbergauge/isup"
+	"github.com/umbergauge/umbergauge/m3ua"
+)
+
+func captureCommand() *cobra.Command {
+	var number, call string
+	c := &cobra.Command{
+		Use:   "capture FILE...",
+		Short: "Show what is in files of run --capture, a line a message",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			type circuit struct {
+				a, b uint32
+				cic  uint16
+			}
+			on := map[circuit]bool{} // circuits that carry a wanted call now
+			for _, f := range args {
+				err := capture.Read(f, func(x capture.Frame) error {
+					var m m3ua.Message
+					if err := m3ua.Decode(x.Data, &m); err != nil {
+						fmt.Fprintf(cmd.OutOrStdout(), "%s %v > %v %v\n", x.At.Format("15:04:05.000000"), x.From, x.To, err)
+						return nil
+					}
+					text := m.Kind.String()
+					wanted := number == "" && call == ""
+					var u isup.Message
+					if m.Kind == m3ua.DATA && isup.Decode(m.Data.User, &u) == nil {
+						text = fmt.Sprintf("%d>%d circuit %d %v", m.Data.OPC, m.Data.DPC, u.CIC, u.Type)
+						k := circuit{min(m.Data.OPC, m.Data.DPC), max(m.Data.OPC, m.Data.DPC), u.CIC}
+						switch u.Type {
+						case isup.IAM:
+							ref := fmt.Sprintf("%d.%d", u.Ref.PC, u.Ref.ID)
+							text += fmt.Sprintf(" to %v, call %s", u.Called, ref)
+							on[k] = number != "" && strings.HasPrefix(u.Called.String(), number) || call != "" && call == ref
+						case isup.REL:
+							text += fmt.Sprintf(" cause %d", u.Cause)
+						}
+						wanted = wanted || on[k]
+					}
+					if wanted {
+						fmt.Fprintf(cmd.OutOrStdout(), "%s %v > %v %s\n", x.At.Format("15:04:05.000000"), x.From, x.To, text)
+					}
+					return nil
+				})
+				if err != nil {
+					return short{err}
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&number, "number", "", "only calls to numbers that begin so")
+	c.Flags().StringVar(&call, "call", "", "only the call of this reference, POINTCODE.ID")
+	return c
+}
--- a/cmd/umbergauge/main.go
+++ b/cmd/umbergauge/main.go
@@ -29,7 +29,7 @@
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
 	}
-	c.AddCommand(runCommand(), checkCommand(), dayCommand(), scriptCommand(), loadCommand(), benchCommand())
+	c.AddCommand(runCommand(), checkCommand(), dayCommand(), scriptCommand(), loadCommand(), captureCommand(), benchCommand())
 	return c
 }
 
--- a/cmd/umbergauge/run.go
+++ b/cmd/umbergauge/run.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/umbergauge/umbergauge/capture"
 	"github.com/umbergauge/umbergauge/daemon"
 	"github.com/umbergauge/umbergauge/internal/config"
 )
@@ -30,7 +31,8 @@
 }
 
 func runCommand() *cobra.Command {
-	var file, profile string
+	var file, profile, captureDir string
+	var captureBytes, captureFiles int
 	c := &cobra.Command{
 		Use:   "run -c FILE",
 		Short: "Run a call controller until SIGTERM, which drains it; SIGHUP reads the settings again",
@@ -41,7 +43,15 @@
 				return short{err}
 			}
 			log := logger(cfg.Log, cmd.ErrOrStderr())
-			d, err := daemon.New(daemon.Options{Config: cfg, Log: log})
+			o := daemon.Options{Config: cfg, Log: log}
+			var capt *capture.Writer
+			if captureDir != "" {
+				if capt, err = capture.New(capture.Config{Dir: captureDir, Bytes: captureBytes, Files: captureFiles, Queue: 8192}); err != nil {
+					return short{err}
+				}
+				o.Capture = capt.Put
+			}
+			d, err := daemon.New(o)
 			if err != nil {
 				return short{err}
 			}
@@ -61,6 +71,21 @@
 			signals := make(chan os.Signal, 4)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 			defer signal.Stop(signals)
+			if capt != nil {
+				cctx, stop := context.WithCancel(context.Background())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					if err := capt.Run(cctx); err != nil {
+						log.Error().Err(err).Msg("capture ended")
+					}
+				}()
+				defer func() { // after the daemon, so that its last frames are in it
+					stop()
+					<-ended
+					log.Info().Uint64("frames", capt.Written()).Uint64("left_out", capt.Dropped()).Msg("captured")
+				}()
+			}
 			done := make(chan error, 1)
 			go func() { done <- d.Run(ctx) }()
 			terms := 0
@@ -93,6 +118,9 @@
 		},
 	}
 	c.Flags().StringVarP(&file, "config", "c", "", "settings file")
+	c.Flags().StringVar(&captureDir, "capture", "", "write every frame to pcapng files in this directory")
+	c.Flags().IntVar(&captureBytes, "capture-bytes", 64<<20, "size of a capture file, about")
+	c.Flags().IntVar(&captureFiles, "capture-files", 8, "capture files kept; the oldest goes")
 	c.Flags().StringVar(&profile, "cpuprofile", "", "write a CPU profile to this file")
 	c.MarkFlagRequired("config")
 	return c
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,6 +32,8 @@
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Listen func(addr string) (net.Listener, error)
 	Module func(brain.Config) (controller.Module, error) // for comparisons only; nil: brain.New
+	// Capture, if set, is given every frame of every association; it must not wait.
+	Capture func(at time.Time, from, to net.Addr, frame []byte)
 }
 
 // Daemon is one call controller on sockets.
@@ -50,6 +52,7 @@
 	wg      sync.WaitGroup
 	metrics *metrics
 	hooks   *hookRunner
+	capture func(at time.Time, from, to net.Addr, frame []byte)
 
 	listener, control net.Listener
 	metricsAt         net.Listener
@@ -90,7 +93,7 @@
 
 // New makes a daemon and opens its listeners, so that their addresses are known before Run.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{cfg: o.Config, log: o.Log, dial: o.Dial, listen: o.Listen, start: time.Now(),
+	d := &Daemon{cfg: o.Config, log: o.Log, dial: o.Dial, listen: o.Listen, start: time.Now(), capture: o.Capture,
 		events: make(chan event, o.Config.Limits.Events), links: map[controller.Assoc]*link{}, drain: make(chan struct{})}
 	if d.dial == nil {
 		var nd net.Dialer
--- a/daemon/link.go
+++ b/daemon/link.go
@@ -172,6 +172,9 @@
 			l.close(err.Error())
 			return
 		}
+		if l.d.capture != nil {
+			l.d.capture(time.Now(), l.conn.RemoteAddr(), l.conn.LocalAddr(), frame)
+		}
 		user := m3ua.Kind(frame[2])<<8|m3ua.Kind(frame[3]) == m3ua.DATA
 		now := l.d.now()
 		l.mu.Lock()
@@ -224,6 +227,22 @@
 	}
 }
 
+// captured hands the frames of a batch to the capture.
+func (l *link) captured(b []byte) {
+	if l.d.capture == nil {
+		return
+	}
+	now := time.Now()
+	for len(b) >= m3ua.HeaderLen {
+		n, err := m3ua.Length(b)
+		if err != nil || n > len(b) {
+			return
+		}
+		l.d.capture(now, l.conn.LocalAddr(), l.conn.RemoteAddr(), b[:n])
+		b = b[n:]
+	}
+}
+
 // write sends what is queued, all that has gathered at once, and keeps the association alive.
 func (l *link) write() {
 	defer close(l.flushed)
@@ -257,6 +276,7 @@
 		next, ending := l.asp.Next(), l.ending
 		l.mu.Unlock()
 		if len(buf) > 0 {
+			l.captured(buf)
 			l.conn.SetWriteDeadline(time.Now().Add(l.d.cfg.Association.WriteLimit))
 			if _, err := l.conn.Write(buf); err != nil {
 				l.close("write: " + err.Error())
