--- a/cmd/umbergauge/bench.go
+++ b/cmd/umbergauge/bench.go
@@ -60,6 +60,38 @@
 		Use: "relay LISTEN SWITCH...", Hidden: true, Args: cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error { return bench.Relay(cmd.Context(), args[0], args[1:]) },
 	}
-	c.AddCommand(path, relay)
+	var so bench.SoakOptions
+	soak := &cobra.Command{
+		Use:   "soak",
+		Short: "Run a controller under load with faults around it and sample its process",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if so.Exchanges < 3 || so.Exchanges > 50 || so.Rate <= 0 || so.Rate > 10000 || so.Span < 30*time.Second || so.Span > 24*time.Hour || so.Every < time.Second {
+				return fmt.Errorf("3 to 50 exchanges, a rate of up to 10000, a span of 30s to 24h and samples a second apart can be")
+			}
+			var err error
+			if so.Program, err = os.Executable(); err != nil {
+				return err
+			}
+			res, err := bench.Soak(cmd.Context(), so, cmd.ErrOrStderr())
+			if err != nil {
+				return short{err}
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
+			}
+			t := res.Load.Totals
+			fmt.Fprintf(cmd.OutOrStdout(), "%d faults; offered %d, tries %d: stood %d, refused %d, given up %d, cut %d\n", res.Faults, t.Offered, t.Tries, t.Stood, t.Refused, t.GivenUp, t.Cut)
+			return nil
+		},
+	}
+	f = soak.Flags()
+	f.DurationVar(&so.Span, "span", time.Hour, "how long")
+	f.DurationVar(&so.Every, "every", time.Minute, "between samples")
+	f.Float64Var(&so.Rate, "rate", 200, "calls a second")
+	f.IntVar(&so.Exchanges, "exchanges", 6, "exchanges, the own one included")
+	f.Uint64Var(&so.Seed, "seed", 1, "of load and faults")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	c.AddCommand(path, soak, relay)
 	return c
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/umbergauge/umbergauge/brain"
@@ -40,7 +41,7 @@
 	m.outcomes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umbergauge_calls_total", Help: "Calls by class and outcome."}, []string{"class", "outcome"})
 	m.setUp = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "umbergauge_set_up_seconds", Help: "From IAM in to answer out.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"class"})
-	m.registry.MustRegister(m.outcomes, m.setUp, m)
+	m.registry.MustRegister(m.outcomes, m.setUp, m, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, c := range d.cfg.Classes {
 		m.stands = append(m.stands, m.setUp.WithLabelValues(c.Name))
 	}
--- a/record/record.go
+++ b/record/record.go
@@ -65,6 +65,7 @@
 	frames []Frame
 	marks  []Mark
 	arena  []byte
+	off    bool
 }
 
 // New makes a Log whose times count from now.
@@ -73,6 +74,13 @@
 // Now is the time of the log's clock.
 func (l *Log) Now() time.Duration { return time.Since(l.start) }
 
+// Discard lets the log keep no frames, for runs that nobody judges.
+func (l *Log) Discard() {
+	l.mu.Lock()
+	l.off = true
+	l.mu.Unlock()
+}
+
 // Open notes a new link and returns its number.
 func (l *Log) Open(k Kind, controller, sw uint32) int32 {
 	l.mu.Lock()
@@ -101,6 +109,9 @@
 func (l *Log) Frame(link int32, in bool, data []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.off {
+		return
+	}
 	if cap(l.arena)-len(l.arena) < len(data) {
 		l.arena = make([]byte, 0, max(1<<20, len(data)))
 	}
