--- a/bench/soak.go
+++ b/bench/soak.go
@@ -45,7 +45,7 @@
 	RSSMiB     float64       `json:"rss_mib"`
 	OpenCalls  float64       `json:"open_calls"`
 	Queue      float64       `json:"event_queue"`
-	Cores      float64       `json:"cores"` // used since the last sample
+	Cores      float64       `json:"cores"`  // used since the last sample
 	Faults     int           `json:"faults"` // made so far
 }
 
