--- a/day/play.go
+++ b/day/play.go
@@ -278,9 +278,8 @@
 		if err != nil {
 			return err
 		}
-		second := l.Addr().String()
-		l.Close()
-		w.addrs = append(w.addrs, []string{first, second})
+		defer l.Close() // only when all have theirs, or it would be given out again
+		w.addrs = append(w.addrs, []string{first, l.Addr().String()})
 	}
 	for i, x := range p.exchanges {
 		cfg, err := d.settings(p, i, w.addrs, w.opt.Margin)
