--- a/cmd/umbergauge/run.go
+++ b/cmd/umbergauge/run.go
@@ -27,7 +27,7 @@
 		level = zerolog.InfoLevel
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(w).Level(level).With().Timestamp().Logger()
+	return zerolog.New(zerolog.SyncWriter(w)).Level(level).With().Timestamp().Logger()
 }
 
 func runCommand() *cobra.Command {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -78,7 +78,7 @@
 		}
 		c.Exchanges = append(c.Exchanges, x)
 	}
-	o := Options{Config: &c, Log: zerolog.New(&r.log), Dial: w.dial, Listen: w.listen}
+	o := Options{Config: &c, Log: zerolog.New(zerolog.SyncWriter(&r.log)), Dial: w.dial, Listen: w.listen}
 	if change != nil {
 		change(&c, &o)
 	}
