--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -388,7 +388,7 @@
 	}
 }
 
-// Reload takes changed settings: names, prefixes, further exchanges and the log's level. The error names what cannot be
+// Reload takes changed settings: names, prefixes and further exchanges. The error names what cannot be
 // changed; then all stays as it was.
 func (d *Daemon) Reload(ctx context.Context, cfg *config.Config) error {
 	var err error
--- a/day/hooks_test.go
+++ b/day/hooks_test.go
@@ -13,6 +13,7 @@
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/daemon"
 	"github.com/umbergauge/umbergauge/hooks"
+	"github.com/umbergauge/umbergauge/script"
 )
 
 // busy is a day at 120% of the planned load with a storm peak.
@@ -192,3 +193,92 @@
 		t.Logf("%-16s service %.4f (standard error %.4f), p99 of set-up %.0f ms", k.name, mean, math.Sqrt(max(0, squares/n-mean*mean)/n), p99/n)
 	}
 }
+
+// Each hook of the page does what the sentence above it says, and leaves other calls alone.
+func TestEachHookOfThePage(t *testing.T) {
+	page := pageHooks(t)
+	if len(page) != 6 {
+		t.Fatalf("%d hooks on the page", len(page))
+	}
+	names := hooks.Names{Classes: []string{"map-tile", "storm-tile"}}
+	sets := make([]*hooks.Set, len(page))
+	for i, text := range page {
+		var err error
+		if sets[i], err = hooks.Compile([]hooks.Source{{Name: "page.ug", Text: text}}, names, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := hooks.NewRunner()
+	run := func(i int, kind string, ev script.Event) (a hooks.Advice) {
+		r.Run(sets[i], kind, &ev, time.Hour, &a)
+		if len(a.Failed) > 0 {
+			t.Errorf("hook %d fails: %v", i, a.Failed)
+		}
+		return a
+	}
+	call := script.Call{Called: "820200001", Calling: "9001", Class: "map-tile", Category: 10, To: 102}
+	with := func(f func(*script.Call)) script.Event {
+		c := call
+		f(&c)
+		return script.CallEvent(c)
+	}
+	plain := script.CallEvent(call)
+	for _, n := range []string{"820100001", "8203712"} {
+		if a := run(0, script.Arrival, with(func(c *script.Call) { c.Called = n })); a.Class != "storm-tile" || len(a.Tags) != 1 {
+			t.Errorf("storm desk %s: %+v", n, a)
+		}
+	}
+	if a := run(0, script.Arrival, plain); a.Class != "" {
+		t.Errorf("not the storm desk: %+v", a)
+	}
+	refused := 0
+	for range 200 {
+		if run(1, script.Arrival, plain).Refuse == 42 {
+			refused++
+		}
+	}
+	if refused < 90 || refused > 110 { // ten a second over ten seconds
+		t.Errorf("%d of 200 calls to one number refused", refused)
+	}
+	if a := run(1, script.Arrival, with(func(c *script.Call) { c.Called = "820299999" })); a.Refuse != 0 {
+		t.Errorf("another number: %+v", a)
+	}
+	if a := run(1, script.Arrival, with(func(c *script.Call) { c.Class = "storm-tile" })); a.Refuse != 0 {
+		t.Errorf("a storm call to the hot number: %+v", a)
+	}
+	if a := run(2, script.Route, plain); len(a.Exclude) != 1 || a.Exclude[0] != 104 {
+		t.Errorf("%+v", a)
+	}
+	if a := run(2, script.Route, with(func(c *script.Call) { c.Class = "storm-tile" })); len(a.Exclude) != 0 {
+		t.Errorf("%+v", a)
+	}
+	for _, x := range []struct{ cause, exchange, want int }{{47, 103, 42}, {47, 102, 0}, {34, 103, 0}} {
+		if a := run(3, script.AttemptEnd, script.AttemptEndEvent(call, x.cause, x.exchange, true, time.Second)); a.Treat != x.want {
+			t.Errorf("cause %d of %d is read as %d", x.cause, x.exchange, a.Treat)
+		}
+	}
+	second := with(func(c *script.Call) { c.Category = 12 })
+	for _, x := range []struct{ waiting, want int }{{10, 0}, {300, 42}, {10, 0}} {
+		var a hooks.Advice
+		ev := script.EveryEvent(x.waiting, 0, 0, 0, 0, 0)
+		r.Run(sets[4], script.Every, &ev, time.Hour, &a)
+		if got := run(4, script.Arrival, second).Refuse; got != x.want {
+			t.Errorf("with %d waiting: %d", x.waiting, got)
+		}
+		if run(4, script.Arrival, plain).Refuse != 0 {
+			t.Error("an ordinary call is refused")
+		}
+	}
+	for range 3 {
+		run(5, script.Arrival, plain)
+	}
+	if a := run(5, script.Every, script.EveryEvent(0, 0, 0, 0, 0, 0)); len(a.Logs) != 1 || a.Logs[0].Value != "9001 3" {
+		t.Errorf("%+v", a)
+	}
+	if a := run(5, script.Final, script.FinalEvent(call, "failed", 102, 103, time.Second)); len(a.Logs) != 1 || a.Logs[0].Value != "103" {
+		t.Errorf("%+v", a)
+	}
+	if a := run(5, script.Final, script.FinalEvent(call, "stands", 0, 103, time.Second)); len(a.Logs) != 0 {
+		t.Errorf("%+v", a)
+	}
+}
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -319,6 +319,22 @@
 	}
 }
 
+// The rate is over the whole window: what came in its first half still counts in the second, in full.
+func TestRateIsOverTheWindow(t *testing.T) {
+	r := NewRates(10*time.Second, 64)
+	for range 50 {
+		r.add("x", time.Hour)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  float64
+	}{{0, 5}, {9 * time.Second, 5}, {15 * time.Second, 2.5}, {20 * time.Second, 0}} {
+		if v := r.perSecond("x", time.Hour+c.after); v != c.want {
+			t.Errorf("after %v: %v a second, want %v", c.after, v, c.want)
+		}
+	}
+}
+
 // Counts of Space-Saving are never too low, and too high by the whole divided by the size at the most.
 func TestTop(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/script/state.go
+++ b/script/state.go
@@ -96,13 +96,13 @@
 }
 
 // Rates counts events by key over a sliding window, for a bounded number of keys: a table of sets of eight entries, where a
-// new key takes the place of the slowest of its set. The rate is that of the present half window and, in proportion, of
-// the one before, so an entry is 24 octets whatever the rate.
+// new key takes the place of the slowest of its set. A key's count over the last window is that of the window under way and, in
+// proportion to what is left of it, of the one before, so an entry is 24 octets whatever the rate.
 type Rates struct {
-	half time.Duration
-	mu   sync.Mutex
-	sets [][ways]rateEntry
-	mask uint64
+	window time.Duration
+	mu     sync.Mutex
+	sets   [][ways]rateEntry
+	mask   uint64
 }
 
 const ways = 8
@@ -119,7 +119,7 @@
 	for n*ways < keys {
 		n *= 2
 	}
-	return &Rates{half: max(window/2, time.Millisecond), sets: make([][ways]rateEntry, n), mask: uint64(n - 1)}
+	return &Rates{window: max(window, time.Millisecond), sets: make([][ways]rateEntry, n), mask: uint64(n - 1)}
 }
 
 // roll brings an entry to an epoch.
@@ -137,7 +137,7 @@
 
 func (t *Rates) add(key string, now time.Duration) {
 	h := xxhash.Sum64String(key) | 1 // 0 marks an empty entry
-	epoch := uint32(now / t.half)
+	epoch := uint32(now / t.window)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	set := &t.sets[h>>8&t.mask]
@@ -167,15 +167,15 @@
 
 func (t *Rates) perSecond(key string, now time.Duration) float64 {
 	h := xxhash.Sum64String(key) | 1
-	epoch := uint32(now / t.half)
+	epoch := uint32(now / t.window)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	set := &t.sets[h>>8&t.mask]
 	for i := range set {
 		if e := &set[i]; e.hash == h {
 			e.roll(epoch)
-			part := float64(now%t.half) / float64(t.half)
-			return (float64(e.now) + float64(e.last)*(1-part)) / t.half.Seconds()
+			part := float64(now%t.window) / float64(t.window)
+			return (float64(e.now) + float64(e.last)*(1-part)) / t.window.Seconds()
 		}
 	}
 	return 0
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -194,6 +194,33 @@
 	}
 }
 
+// A CQM that had to be repeated is answered twice. The second answer is older than a call set up since, and ends nothing.
+func TestLateAnswerToARepeatedQuery(t *testing.T) {
+	g, err := New(Timers{}, 1, 2, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Sync()
+	idle := isup.Message{Type: isup.CQR, CIC: 1, Range: 1, Circuits: []byte{isup.CircuitIdle, isup.CircuitIdle}}
+	al, _ := find[Alarm](take(g))
+	g.Alarm(al.Wake)
+	if m, ok := find[ToFar](take(g)); !ok || m.Msg.Type != isup.CQM {
+		t.Fatal("the query is not repeated")
+	}
+	g.FromFar(&idle)
+	cic, ok := g.Seize(7)
+	if !ok {
+		t.Fatal("not in sync after the first answer")
+	}
+	g.FromFar(&idle)
+	if l, lost := find[Lost](take(g)); lost {
+		t.Errorf("%+v", l)
+	}
+	if s, call := g.Circuit(cic); s != Outgoing || call != 7 {
+		t.Errorf("%v with call %d", s, call)
+	}
+}
+
 // Signalling is lost with a call being set up and two standing; the far switch still knows one of them.
 func TestSignallingLost(t *testing.T) {
 	g := group(t, 1, 2, 40)
