Windows follow demand, thin faults cost themselves: the module's part

Need: with nothing loaded and demand beyond the windows, Table I reads its second input High and shuts them to their starting size; slots last through ringing; one full or two unanswered set-ups were taken for a state of the exchange.

Change: the event Alerting ends the processor's part of an attempt and frees its slots. The share of slots held is measured by what the exchange proves to carry before an answer reads Medium (Little's law). Three full answers in a row shut a quick exchange, one shuts a slow one as before; a call that met one may try again. A set-up that is known lost holds no slot. Where the own lateness is told, the own window reads that alone, and answers count beyond each exchange's distance.

--- a/brain/api.go
+++ b/brain/api.go
@@ -96,6 +96,7 @@
 	TurnedBackFull        // returned by the tandem: the processor beyond it was full
 	ProcessorFull         // the processor was full (with NotSent: the own one is down)
 	NumberBusy            // all lines of the number are busy
+	NoAnswer              // it rang and nobody answered: no state of any exchange
 )
 
 // Event is something that the controller is told: one of the types below.
@@ -122,6 +123,14 @@
 		Redial      bool  // dialled again, where callers mark it
 		Exclude     []int // point codes that this call is kept away from
 	}
+	// Alerting tells that the processor's part of an attempt is over and the number rings (address complete,
+	// Q.764, 2.1.4). The attempt is still out. Where no such word comes, Established ends both parts.
+	Alerting struct {
+		Call     uint64
+		Attempt  int
+		Exchange string
+		Delay    time.Duration
+	}
 	// Established tells that the call stands.
 	Established struct {
 		Call     uint64
@@ -143,7 +152,8 @@
 	}
 	// Released tells that the caller has left.
 	Released struct{ Call uint64 }
-	// Status is an answer to Probe, or unasked word that a trunk group has changed.
+	// Status is an answer to Probe, or unasked word that a trunk group or a load has changed. Of the own exchange, by
+	// its address in the list, it tells the own lateness in Wait.
 	Status struct {
 		Exchange string
 		Asked    bool // an answer to Probe
@@ -157,6 +167,7 @@
 
 func (List) event()        {}
 func (Offered) event()     {}
+func (Alerting) event()    {}
 func (Established) event() {}
 func (Returned) event()    {}
 func (Released) event()    {}
@@ -167,7 +178,8 @@
 type Action interface{ action() }
 
 type (
-	// SetUp starts an attempt: the direct route if Exchange is the destination, else over it as tandem.
+	// SetUp starts an attempt: the direct route if Exchange is the destination, else over it as tandem. TimeOut
+	// runs until Alerting or Established.
 	SetUp struct {
 		Call     uint64
 		Exchange string
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -53,18 +53,20 @@
 
 // Health of far processors.
 const (
-	silentAfter = 2                      // set-ups without any sign of life: the exchange is silent
-	overdueAt   = 0.75                   // share of the shortest aim after which an answer is overdue
-	trialRate   = 16.0                   // trial calls a second that all controllers together make to it
-	answerSpare = 15 * time.Millisecond  // a held call is answered so long before its due time
-	pause       = time.Second            // what is full, busy or silent gets nothing for so long at the least
-	minTimeOut  = 300 * time.Millisecond // no attempt is given less
-	lostDecay   = 0.9                    // part of it left after a step
-	lossy       = 1.5                    // set-ups lost, decayed, from which on attempts are made again
-	tails       = 3                      // usual answer times after which an answer is taken for lost
-	numberKept  = 10 * time.Second       // a number is forgotten after this; till then a call is a redial
-	coldUse     = 2.4                    // of the budget that usual sends fill: a part of what it can do
-	usualWeight = 0.05                   // weight of one step in the usual rate of sends
+	silentAfter   = 2                      // set-ups without any sign of life: the exchange is silent
+	overdueAt     = 0.75                   // share of the shortest aim after which an answer is overdue
+	trialRate     = 16.0                   // trial calls a second that all controllers together make to it
+	answerSpare   = 15 * time.Millisecond  // a held call is answered so long before its due time
+	pause         = time.Second            // what is full, busy or silent gets nothing for so long at least
+	fullInRow     = 3                      // so many turned away in a row by a quick exchange: it is full
+	minTimeOut    = 300 * time.Millisecond // no attempt is given less
+	lostDecay     = 0.9                    // part of it left after a step
+	lossy         = 1.5                    // set-ups lost, decayed, from which on attempts are made again
+	distanceGrows = 100                    // a distance grows by such a part a step till an answer is quicker
+	tails         = 3                      // usual answer times after which an answer is taken for lost
+	numberKept    = 10 * time.Second       // a number is forgotten after this; till then a call is a redial
+	coldUse       = 2.4                    // of the budget that usual sends fill: a part of what it can do
+	usualWeight   = 0.05                   // weight of one step in the usual rate of sends
 )
 
 // stepTimer is the timer of the steps; calls have timers of their own id, below it.
@@ -85,14 +87,17 @@
 	heldAvg   [2]float64    // mean slots held, last step and the one before
 	peak      int           // most slots held in this step
 	fullUntil time.Duration // it was full: no set-ups until then, each would be work for nothing
+	fulls     int           // set-ups turned away as full since it last took one
 
 	answers, pressure float64 // decayed number of answers and the load that they showed
 	load              float64 // load by the last report
 	seen              float64 // first input of the last step
 	loadAt            time.Duration
-	free, size        float64 // circuits of the trunk group; a size below zero is unknown
+	wait              time.Duration // by the last report; 0: not told
+	distance          time.Duration // the least that its answers take; 0: not known
+	free, size        float64       // circuits of the trunk group; a size below zero is unknown
 
-	out        []*call // attempts out towards it, by time of send
+	out        []*call // attempts out towards it that its processor has, by time of send
 	lastAnswer time.Duration
 	lost       float64 // decayed number of set-ups lost while others were answered quickly
 	unanswered int
@@ -104,6 +109,7 @@
 	sends    []time.Duration // sends within the last FallSpan
 	usual    float64         // usual set-ups a second sent to it while it is warm
 	sentStep int
+	taken    int // set-ups that it has answered in this step
 	steps    float64
 }
 
@@ -135,6 +141,7 @@
 	tried     []int     // tandems already tried
 	to        *exchange // where the attempt out has gone
 	slotted   bool      // it holds a slot at to and at the own exchange
+	rings     bool      // the processor's part of the attempt out is over
 	sentAt    time.Duration
 	mayRun    bool // an attempt may have been carried out
 	missed    bool // its attempt is known to be unanswered
@@ -225,6 +232,8 @@
 		c.list(ev)
 	case Offered:
 		c.offered(ev)
+	case Alerting:
+		c.alerting(ev)
 	case Established:
 		c.established(ev)
 	case Returned:
@@ -249,6 +258,9 @@
 			if k.phase == held { // a timer may come a little early: without another the call would be lost
 				c.wake(k)
 			}
+		} else if k != nil && k.rings && k.slotted {
+			c.free(k)
+			c.serve(nil)
 		}
 	}
 	out, c.out = c.out, nil
@@ -283,6 +295,7 @@
 	seen := map[int]bool{}
 	for _, e := range ev.Entries {
 		if e.PointCode == c.cfg.Self && !c.cfg.Pools {
+			c.byAddr[e.Address] = c.own // for what is told of the own lateness
 			continue
 		}
 		x := c.exchanges[e.PointCode]
@@ -568,7 +581,7 @@
 		c.slot(c.own, 1)
 		k.slotted = true
 	}
-	k.phase, k.to, k.sentAt, k.missed = setting, x, c.now, false
+	k.phase, k.to, k.sentAt, k.missed, k.rings = setting, x, c.now, false, false
 	k.attempts++
 	if x.code != k.Destination {
 		k.tried = append(k.tried, x.code)
@@ -600,18 +613,25 @@
 	if k.to == nil {
 		return
 	}
-	k.to.out = slices.DeleteFunc(k.to.out, func(o *call) bool { return o == k })
-	if k.slotted {
-		c.slot(k.to, -1)
-		c.slot(c.own, -1)
-		k.slotted = false
+	if !k.rings {
+		k.to.out = slices.DeleteFunc(k.to.out, func(o *call) bool { return o == k })
 	}
+	c.free(k)
 	if n := c.numbers[k.Number]; n != nil && n.out > 0 {
 		n.out--
 	}
 	k.to = nil
 }
 
+// free gives back the slots of an attempt.
+func (c *Controller) free(k *call) {
+	if k.slotted {
+		c.slot(k.to, -1)
+		c.slot(c.own, -1)
+		k.slotted = false
+	}
+}
+
 // end closes a call, with its final answer if that is owed still. No other place does. A call fails if an
 // attempt may have been carried out, else it is refused.
 func (c *Controller) end(k *call, owed bool) {
@@ -646,24 +666,62 @@
 	x.lastAnswer, x.unanswered, x.silent = c.now, 0, false
 }
 
-func (c *Controller) established(ev Established) {
+// alerting ends the processor's part of an attempt. It is out still, but ringing is the subscriber's affair:
+// no slot is held for it. An exchange may say so at once and do the work later; the wait that it is reported
+// to have then tells how long the slot is held.
+func (c *Controller) alerting(ev Alerting) {
 	k := c.calls[ev.Call]
-	if k == nil || k.to == nil {
+	if k == nil || k.to == nil || k.rings {
 		return
 	}
 	x := k.to
-	same := x.addr == ev.Exchange
+	c.carried(k, ev.Exchange, ev.Delay)
+	x.out = slices.DeleteFunc(x.out, func(o *call) bool { return o == k })
+	k.rings = true
+	if rest := k.sentAt + x.wait - c.now; rest > 0 && k.slotted && c.now-x.loadAt <= reportKept {
+		c.do(SetTimer{ID: k.Call, After: rest})
+		return
+	}
+	c.free(k)
+	c.serve(nil)
+}
+
+// carried notes what the end of the processor's part after d tells of the exchange that an attempt went to.
+func (c *Controller) carried(k *call, at string, took time.Duration) {
+	x, d := k.to, took
+	same := x.addr == at
 	if same {
 		c.alive(x)
+		x.fulls = 0
+		x.taken++
+		c.own.taken++
 	}
 	if same && x.code == k.Destination && k.sentAt >= c.resumed {
-		c.evidence(x, ev.Delay-c.ownWait)
-		c.heard, c.leastTime = c.heard+1, min(c.leastTime, ev.Delay)
-		c.answerTime += (ev.Delay - c.answerTime) / 8
-	} else if d := c.exchanges[k.Destination]; d != nil && d != x {
-		c.alive(d)
-		d.via = x.code
-		x.turned[d.code] = turnBacks{n: -1}
+		if d -= c.ownWait; c.told() { // else what answers have in common is taken for the own wait
+			if x.distance == 0 || d < x.distance {
+				x.distance = max(0, min(d, c.slow/2))
+			}
+			d -= x.distance
+		}
+		c.evidence(x, d)
+		c.heard, c.leastTime = c.heard+1, min(c.leastTime, took)
+		c.answerTime += (took - c.answerTime) / 8
+	} else if y := c.exchanges[k.Destination]; y != nil && y != x {
+		y.via = x.code
+		x.turned[y.code] = turnBacks{n: -1}
+	}
+}
+
+func (c *Controller) established(ev Established) {
+	k := c.calls[ev.Call]
+	if k == nil || k.to == nil {
+		return
+	}
+	if !k.rings {
+		c.carried(k, ev.Exchange, ev.Delay)
+	}
+	if y := c.exchanges[k.Destination]; y != nil && y != k.to { // a tandem may say early that it rings
+		c.alive(y)
 	}
 	c.answered(k)
 	if k.phase == setting {
@@ -684,7 +742,7 @@
 	direct := x != nil && x.code == k.Destination
 	setUp := k.to != nil // it had not stood
 	if setUp && ev.Reason == ProcessorFull && ev.Cause != NotSent {
-		k.to.fullUntil = c.now + max(pause, ev.Wait)
+		c.full(k.to, ev.Wait)
 	}
 	c.answered(k)
 	if setUp && x != nil && x.addr == ev.Exchange { // a replaced machine tells nothing of its successor
@@ -702,17 +760,17 @@
 	case TimedOut, Reset, Cancelled: // what the attempt held may stay taken: the release is awaited
 		k.mayRun = true
 		k.earliest = c.now + c.cfg.Guard
-		again = ev.Cause != TimedOut || !direct || c.quick(x) && x.lost >= lossy
+		again = ev.Cause != TimedOut || !k.rings && (!direct || c.quick(x) && x.lost >= lossy)
 	case Failed:
 		k.mayRun = true
-		again = ev.Reason != NumberBusy
+		again = ev.Reason != NumberBusy && ev.Reason != NoAnswer
 	case NoContact:
 		again = !direct
 	case NotSent:
 		again = ev.Reason == NoCircuit
 	case NotSetUp:
 		// A full destination is not asked again, neither direct nor over a tandem.
-		again = ev.Reason != TurnedBackFull && !(ev.Reason == ProcessorFull && direct)
+		again = ev.Reason != TurnedBackFull && !(ev.Reason == ProcessorFull && direct && c.now < x.fullUntil)
 	}
 	if again && !k.Transit && c.now < k.Due-answerSpare {
 		c.place(k)
@@ -729,7 +787,7 @@
 		c.alive(x)
 	case TimedOut, NoContact:
 		// An attempt that its caller has given less than an answer may take tells nothing.
-		short := ev.Cause == TimedOut && c.now-k.sentAt < tails*c.answerTime
+		short := ev.Cause == TimedOut && (k.rings || c.now-k.sentAt < tails*c.answerTime)
 		if direct && !k.missed && !short {
 			c.unanswered(x, k.sentAt)
 		} else if !direct && !short {
@@ -755,6 +813,14 @@
 	}
 }
 
+// full notes that a set-up came back for want of the processor of x. An exchange that answers quickly and
+// turns one away now and then is not full: a rest would cost the calls of a second for one.
+func (c *Controller) full(x *exchange, wait time.Duration) {
+	if x.fulls++; wait > 0 || x.fulls >= fullInRow || !c.quick(x) {
+		x.fullUntil = c.now + max(pause, wait)
+	}
+}
+
 // turnBack notes that x as tandem did not carry a call to the destination.
 func (c *Controller) turnBack(x *exchange, destination int) {
 	x.turned[destination] = turnBacks{max(0, x.turned[destination].n) + 1, c.now}
@@ -795,6 +861,7 @@
 	}
 	load := r.Utilisation
 	if r.Wait >= 0 {
+		x.wait = time.Duration(r.Wait * float64(time.Second))
 		load = max(load, min(1, r.Wait/c.slow.Seconds()))
 	} else if r.Queue >= 0 && r.Rate > 0 {
 		load = max(load, min(1, r.Queue/r.Rate/c.slow.Seconds()))
@@ -804,9 +871,15 @@
 	}
 }
 
+// told tells whether the own lateness is told, and need not be guessed from answers.
+func (c *Controller) told() bool { return c.own.loadAt > 0 && c.now-c.own.loadAt <= reportKept }
+
 // step resizes every window, in the order of the point codes.
 func (c *Controller) step() {
-	if c.heard >= 2 { // what all answers have in common is the wait at the own processor
+	told := c.told()
+	if told {
+		c.ownWait = c.own.wait
+	} else if c.heard >= 2 { // what all answers have in common is the wait at the own processor
 		c.ownWait = c.leastTime
 	}
 	c.heard, c.leastTime = 0, math.MaxInt64
@@ -816,6 +889,9 @@
 			if x.code == k.Destination && !k.missed && age > overdueAt*c.aim.Seconds() {
 				k.missed = true
 				c.unanswered(x, k.sentAt)
+				if x.lastAnswer >= k.sentAt && c.quick(x) { // it is lost, and waits in no line
+					c.free(k)
+				}
 			}
 		}
 		for len(x.sends) > 0 && x.sends[0] <= c.now-c.cfg.FallSpan {
@@ -825,11 +901,15 @@
 			x.steps++
 			x.usual += (float64(x.sentStep)/stepEvery.Seconds() - x.usual) * max(usualWeight, 1/x.steps)
 		}
-		x.sentStep, x.lost = 0, x.lost*lostDecay
+		x.sentStep, x.lost, x.distance = 0, x.lost*lostDecay, x.distance+x.distance/distanceGrows
 		c.resize(x)
 	}
 	c.own.answers, c.own.pressure = 0, 0
-	c.evidence(c.own, c.ownWait)
+	if !told {
+		c.evidence(c.own, c.ownWait)
+	} else { // of the slots only what waits here is held by the own processor; the rest waits at far ones
+		c.own.heldSum, c.own.heldAt = time.Duration(c.own.taken)*c.own.wait, c.now
+	}
 	c.resize(c.own)
 	for key, n := range c.numbers {
 		if n.out == 0 && c.now > max(n.busyAt, n.refusedAt)+numberKept {
@@ -845,6 +925,7 @@
 	x.heldAvg[1], x.heldAvg[0] = x.heldAvg[0], x.heldSum.Seconds()/stepEvery.Seconds()
 	peak := x.peak
 	x.heldSum, x.peak = 0, x.held
+	defer func() { x.taken = 0 }()
 	load := 0.0
 	if x.answers > 0 {
 		load = x.pressure / x.answers
@@ -861,14 +942,21 @@
 	share := full
 	if load < setMid {
 		// A window that a short pause has cut has all its few slots held, which reads High though nothing is
-		// wrong, and Table I would keep it shut. Under its starting size it is measured by that size.
-		share = max(full, x.start)
+		// wrong, and Table I would keep it shut. Under its starting size it is measured by that size. Demand
+		// for more would read High too: it is measured by what the exchange has proved to carry, the set-ups
+		// that it would answer, as fast as in this step, before an answer read Medium (Little's law).
+		rate := float64(x.taken) / stepEvery.Seconds()
+		share = max(full, x.start, rate*(x.distance.Seconds()+setMid*c.slow.Seconds()))
 	}
 	change := deltaW(load, min(1, (x.heldAvg[0]+x.heldAvg[1])/2/share))
 	if change > 0 && float64(peak) < full-1 {
 		return // it grows only when its slots were nearly all used
 	}
-	x.window = min(maxWindow, max(minSlots, x.window*(1+change)))
+	ceiling := maxWindow
+	if x == c.own { // it stands before all others
+		ceiling *= float64(max(1, len(c.order)))
+	}
+	x.window = min(ceiling, max(minSlots, x.window*(1+change)))
 }
 
 // table is Table I: rows by load, columns by share of slots held; Low, Medium, High.
