A set-up has two phases: ACM ends the processor's part, ringing is the call's

Change: the controller tells the module Alerting on ACM, or on CPG where ACM was lost. Until ANM the attempt is out, its time bounded by T9 and by how long callers of the class let it ring (cause 19, which tells nothing of the exchange). The own lateness is measured in the decision queue and told; the time from REL to RLC is told as the far switch's wait. Settings: timers.t7, t9, a class's ring; check refuses ports beyond 65535 and a patience under the aim.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -861,8 +861,11 @@
 	}
 	load := r.Utilisation
 	if r.Wait >= 0 {
-		x.wait = time.Duration(r.Wait * float64(time.Second))
-		load = max(load, min(1, r.Wait/c.slow.Seconds()))
+		// What was under way while the controller stood still tells of that alone.
+		if wait := time.Duration(r.Wait * float64(time.Second)); wait <= c.now-c.resumed || c.resumed == 0 {
+			x.wait = wait
+			load = max(load, min(1, max(0, wait-x.distance).Seconds()/c.slow.Seconds()))
+		}
 	} else if r.Queue >= 0 && r.Rate > 0 {
 		load = max(load, min(1, r.Queue/r.Rate/c.slow.Seconds()))
 	}
--- a/cmd/umbergauge/day.go
+++ b/cmd/umbergauge/day.go
@@ -28,7 +28,7 @@
 
 func dayCommand() *cobra.Command {
 	var seed uint64
-	var asJSON, draw, plainly, verbose bool
+	var asJSON, draw, plainly, verbose, silent bool
 	var kind, trace string
 	var scripts []string
 	c := &cobra.Command{
@@ -58,6 +58,9 @@
 			if opt.Hooks, err = sources(scripts); err != nil {
 				return err
 			}
+			if silent {
+				d = d.WithoutRinging()
+			}
 			if plainly {
 				opt.Module = plain.New
 			}
@@ -93,6 +96,7 @@
 	f.StringVar(&kind, "kind", "trouble", "kind of the drawn day: quiet, trouble, overload or only:KIND")
 	f.Bool("play", false, "play the drawn day")
 	f.BoolVar(&plainly, "plain", false, "play it with plain direct-only routing, for comparison")
+	f.BoolVar(&silent, "no-ringing", false, "numbers answer at once and there are no thin faults")
 	f.BoolVarP(&verbose, "verbose", "v", false, "show the controllers' logs")
 	f.StringSliceVar(&scripts, "hooks", nil, "scripts that every controller runs")
 	f.StringVar(&trace, "trace", "", "show the frames of the call REF (as findings name it)")
@@ -158,7 +162,9 @@
 	}
 	fmt.Fprintf(w, "\ntries %d: stood %d, refused or failed %d, given up %d, cut %d\n", r.Tries, r.Stood, r.Refused, r.GivenUp, r.Cut)
 	fmt.Fprintf(w, "attempts %d, of them by tandem %d; dual seizures %d; frames %d\n", r.Attempts, r.Tandem, r.Dual, r.Frames)
-	fmt.Fprintf(w, "set-up time p50 %.0f ms, p99 %.0f ms, longest %.0f ms\n", r.DelaysMS[0], r.DelaysMS[1], r.DelaysMS[2])
+	fmt.Fprintf(w, "set-up time to ACM p50 %.0f ms, p99 %.0f ms, longest %.0f ms; to the answer p50 %.0f ms, p99 %.0f ms\n",
+		r.DelaysMS[0], r.DelaysMS[1], r.DelaysMS[2], r.AnswersMS[0], r.AnswersMS[1])
+	fmt.Fprintf(w, "rang %d; nobody answered %d callers (in no service); service if the aim ran to the answer %.3f\n", r.Rang, r.NoAnswer, r.ToAnswer.Share)
 	fmt.Fprintf(w, "\nrules broken: %d\n", len(r.Broken))
 	for i, f := range r.Broken {
 		if i == 20 {
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -300,6 +300,7 @@
 		}
 		k.progress = true
 		c.backward(k, &back)
+		c.alerting(k) // CPG too: whoever sends it has sent ACM
 	case isup.ANM, isup.CON:
 		if k == nil || k.phase != offered {
 			c.Counters.LateAnswers++ // after the own time-out: REL is under way
@@ -308,6 +309,7 @@
 			break
 		}
 		c.wheel.Stop(k.timeOut)
+		c.silence(k)
 		k.phase = standing
 		c.waiting--
 		c.Counters.Established++
@@ -349,6 +351,9 @@
 			c.Counters.Unexpected++
 			break
 		}
+		if m.Type == isup.RLC {
+			f.released(m.CIC, c.now, c.cfg.Trunk.T1)
+		}
 		f.group.FromFar(m)
 		c.acts(f)
 	}
--- a/controller/causes.go
+++ b/controller/causes.go
@@ -11,6 +11,8 @@
 	switch cause {
 	case isup.CauseUserBusy:
 		return brain.Failed, brain.NumberBusy
+	case isup.CauseNoUser, isup.CauseNoAnswer:
+		return brain.Failed, brain.NoAnswer
 	case isup.CauseNoCircuit, isup.CauseNotAvailable, 47: // 47: resource unavailable, unspecified
 		if direct {
 			return brain.NotSetUp, brain.NoCircuit
@@ -34,6 +36,9 @@
 func told(cause brain.Cause, reason brain.Reason) isup.Cause {
 	switch cause {
 	case brain.TimedOut:
+		if reason == brain.NoAnswer {
+			return isup.CauseNoAnswer
+		}
 		return isup.CauseTimer
 	case brain.NoContact:
 		return isup.CauseOutOfOrder
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -38,6 +38,8 @@
 	MaxCalls     int           // open calls; more are refused with cause 42
 	Trunk        trunk.Timers
 	ClientT1     time.Duration // REL to a client without RLC is sent again, five times
+	T7           time.Duration // a set-up awaits ACM, ANM or CON so long at the most (Q.764, annex A); 0: 20 s
+	T9           time.Duration // ... and a number that rings ANM; 0: 90 s
 
 	// Admit is the door in front of the module: limits of each client and of all, and of each tenant.
 	Admit  admit.Config
@@ -88,7 +90,8 @@
 type Class struct {
 	Name       string
 	Categories []isup.Category // calling party's categories that mark it; those of no class are of the first
-	Patience   time.Duration   // its callers give up after this
+	Patience   time.Duration   // its callers give up after this, unless it rings by then ...
+	Ring       time.Duration   // ... and then they let it ring so long; 0: 60 s
 }
 
 // Assoc names an association.
@@ -159,6 +162,7 @@
 	Attempts int
 	Cause    isup.Cause
 	After    time.Duration // since the call came
+	SetUp    time.Duration // of a call that stands: till it rang, or till the answer if none said so
 	Calling  isup.Number
 	Category isup.Category
 	Set      *hooks.Set // of the call's hooks, or nil
@@ -169,6 +173,7 @@
 type Counters struct {
 	Offered, Transit, Attempts, Established, Refused, Failed, Left, Finished, Cut uint64
 	TimedOut, NoContact, NotSent, LateAnswers, Malformed, Unexpected, QueueFull   uint64
+	Alerted, NoAnswer                                                             uint64
 	KeptOut                                                                       uint64
 	HookAsked, HookLate, HookBusy, HookRefused                                    uint64
 }
@@ -204,6 +209,8 @@
 	door     *admit.Client // its client's account; nil in transit
 	account  int           // its client's tenant, whatever hooks make of it
 	progress bool          // ACM has been passed back
+	rings    bool          // the attempt out has passed ACM: the processor's part is over
+	rangAt   time.Duration // when the caller was first told so; 0: not yet
 	cause    isup.Cause
 	loc      isup.Location
 
@@ -257,6 +264,11 @@
 	doubt    bool
 	known    bool // since then it has named a call that stands
 	seen     bool // it has been reached once
+	// asked is when REL went out on a circuit, by CIC; wait is how long the switch takes to answer it with RLC, smoothed:
+	// processor's work that no subscriber has a part in. heard: the module has not been told of it.
+	asked []time.Duration
+	wait  time.Duration
+	heard bool
 }
 
 type alarmKind uint8
@@ -319,6 +331,11 @@
 	user      []byte
 	msg       isup.Message
 	spareCall []*call
+	ringing   int
+	ownAddr   string
+	late      time.Duration // sum of the lateness of events ...
+	lateOf    int           // ... of so many
+	lateTold  time.Duration
 }
 
 // New makes a controller. now is the present time, which must be above zero.
@@ -340,8 +357,18 @@
 	if cfg.MaxCalls <= 0 {
 		cfg.MaxCalls = math.MaxInt32
 	}
-	if cfg.ClientT1 <= 0 {
-		cfg.ClientT1 = 15 * time.Second
+	def := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	def(&cfg.ClientT1, 15*time.Second)
+	def(&cfg.T7, 20*time.Second)
+	def(&cfg.T9, 90*time.Second)
+	def(&cfg.Trunk.T1, 15*time.Second)
+	cfg.Classes = slices.Clone(cfg.Classes)
+	for i := range cfg.Classes {
+		def(&cfg.Classes[i].Ring, time.Minute)
 	}
 	c := &Core{cfg: cfg, port: port, module: module, now: now, wheel: timer.New[alarm](now, time.Millisecond),
 		calls: map[uint64]*call{}, byPC: map[uint32]*far{}, byAddr: map[string]*far{}, assocs: map[Assoc]*assoc{},
@@ -362,6 +389,12 @@
 	for _, f := range c.fars {
 		entries = append(entries, f.entry())
 	}
+	for _, x := range cfg.Exchanges {
+		if x.PointCode == cfg.PointCode {
+			c.ownAddr = x.Address
+			entries = append(entries, brain.Entry{Address: x.Address, PointCode: int(x.PointCode)})
+		}
+	}
 	c.tell(brain.List{Whole: true, Entries: entries})
 	return c, nil
 }
@@ -388,7 +421,7 @@
 				if err != nil {
 					return err
 				}
-				f.group = g
+				f.group, f.asked = g, make([]time.Duration, x.Circuits+1)
 			}
 			c.fars = append(c.fars, f)
 			c.byPC[x.PointCode] = f
@@ -454,6 +487,12 @@
 			c.tell(brain.Timer{ID: a.id})
 		case attemptTimer:
 			if k := c.calls[a.id]; k != nil && k.phase == offered && k.to != nil {
+				if k.rings { // T9, or as long as its caller lets it ring
+					c.Counters.NoAnswer++
+					c.abandon(k, isup.CauseNoAnswer)
+					c.returned(k, brain.TimedOut, brain.NoAnswer, false)
+					break
+				}
 				c.Counters.TimedOut++
 				c.abandon(k, isup.CauseTimer)
 				c.returned(k, brain.TimedOut, brain.NoReason, false)
@@ -476,11 +515,28 @@
 	for i := 0; i < len(c.dirty); i++ { // the module may seize circuits in between
 		f := c.dirty[i]
 		f.dirty = false
-		c.tell(brain.Status{Exchange: f.Address, OK: true, Report: f.report()})
+		r := f.report()
+		if f.heard {
+			r.Wait, f.heard = f.wait.Seconds(), false
+		}
+		c.tell(brain.Status{Exchange: f.Address, OK: true, Report: r})
 	}
 	c.dirty = c.dirty[:0]
+	if c.ownAddr != "" && now >= c.lateTold+lateEvery {
+		c.lateTold = now
+		r := unknown
+		r.Wait = (c.late / time.Duration(max(1, c.lateOf))).Seconds()
+		c.late, c.lateOf = 0, 0
+		c.tell(brain.Status{Exchange: c.ownAddr, OK: true, Report: r})
+	}
 }
 
+// lateEvery is how often the module is told the own lateness.
+const lateEvery = 250 * time.Millisecond
+
+// Late notes how long events have waited for the decision goroutine: the own lateness, of n of them together.
+func (c *Core) Late(sum time.Duration, n int) { c.late, c.lateOf = c.late+sum, c.lateOf+n }
+
 // unknown is a report that tells nothing.
 var unknown = brain.Report{Free: -1, Size: -1, Utilisation: -1, Queue: -1, Rate: -1, Wait: -1, HoldBack: -1}
 
@@ -653,6 +709,7 @@
 	case FarSwitch:
 		if f := a.far; f.assoc == a {
 			f.assoc, f.doubt = nil, true
+			clear(f.asked)
 			if f.group != nil {
 				f.group.Down()
 				c.acts(f)
@@ -782,6 +839,11 @@
 func (c *Core) destinations(a *assoc, m *m3ua.Message) {
 	var entries []brain.Entry
 	for _, p := range m.Affected {
+		if m.Kind == m3ua.SCON && a.peer.Kind == OwnSwitch && p.PC == c.cfg.PointCode { // its own: it is in every call's path
+			r := unknown
+			r.HoldBack = float64(m.Congestion) / 3
+			c.tell(brain.Status{Exchange: c.ownAddr, OK: true, Report: r})
+		}
 		for _, f := range c.fars {
 			if p.Mask > 24 || f.PointCode>>p.Mask != p.PC>>p.Mask {
 				continue
@@ -820,6 +882,7 @@
 	f := k.to
 	c.wheel.Stop(k.timeOut)
 	k.to = nil
+	c.silence(k)
 	if cause != brain.Failed && cause != brain.NotSetUp {
 		k.cause, k.loc = told(cause, reason), isup.LocationNetwork
 	}
@@ -836,10 +899,51 @@
 	if k.from != nil {
 		loc = isup.LocationTransit
 	}
+	if k.to.PointCode == k.dest {
+		k.to.asked[k.toCIC] = c.now
+	}
 	k.to.group.Release(k.toCIC, cause, loc)
 	c.acts(k.to)
 }
 
+// released takes RLC: the time since REL is the switch's own work.
+func (f *far) released(cic uint16, now, limit time.Duration) {
+	if int(cic) >= len(f.asked) || f.asked[cic] == 0 {
+		return
+	}
+	if took := now - f.asked[cic]; took < limit { // else REL was repeated, or the circuit reset
+		f.wait += (took - f.wait) / 8
+		f.heard = true
+	}
+	f.asked[cic] = 0
+}
+
+// silence notes that a call rings no more.
+func (c *Core) silence(k *call) {
+	if k.rings {
+		k.rings = false
+		c.ringing--
+	}
+}
+
+// alerting takes the word that the processor's part of an attempt is over. From now on it is bounded by T9 and by how long
+// the caller lets it ring, counted from when that was first told so.
+func (c *Core) alerting(k *call) {
+	if k.rings {
+		return
+	}
+	k.rings = true
+	c.ringing++
+	c.Counters.Alerted++
+	if k.rangAt == 0 {
+		k.rangAt = c.now
+	}
+	c.wheel.Stop(k.timeOut)
+	end := min(c.now+c.cfg.T9, k.rangAt+c.cfg.Classes[k.class].Ring-c.cfg.AnswerMargin)
+	k.timeOut = c.wheel.Set(max(c.now, end), alarm{kind: attemptTimer, id: k.id})
+	c.tell(brain.Alerting{Call: k.id, Attempt: k.attempts - 1, Exchange: k.to.Address, Delay: c.now - k.sentAt})
+}
+
 // setUp carries out an attempt. It is the only place that sends an IAM, and never for a call that is over or has an
 // attempt out, whatever is asked of it.
 func (c *Core) setUp(a brain.SetUp) {
@@ -890,7 +994,7 @@
 	}
 	c.touch(f)
 	k.toCIC = cic
-	k.timeOut = c.wheel.Set(c.now+a.TimeOut, alarm{kind: attemptTimer, id: k.id})
+	k.timeOut = c.wheel.Set(c.now+min(a.TimeOut, c.cfg.T7), alarm{kind: attemptTimer, id: k.id})
 }
 
 // final gives a call its final answer that it does not stand.
@@ -931,6 +1035,7 @@
 	if k.phase == offered {
 		c.waiting--
 	}
+	c.silence(k)
 	k.phase = over
 	delete(c.calls, k.id)
 	if k.door != nil {
@@ -968,6 +1073,12 @@
 	e := Ending{Outcome: o, Call: k.id, Class: k.class, Tenant: k.tenant, Transit: k.from != nil, Called: k.iam.Called,
 		To: k.dest, Via: k.via, Attempts: k.attempts, Cause: cause, After: c.now - k.arrived,
 		Calling: k.iam.Calling, Category: k.iam.Category, Set: k.set, Tags: k.tags}
+	if o == Stands {
+		e.SetUp = e.After
+		if k.rangAt > 0 {
+			e.SetUp = k.rangAt - k.arrived
+		}
+	}
 	c.port.Ended(e)
 }
 
@@ -1006,6 +1117,9 @@
 // Waiting is the number of calls that are owed a final answer, Open that of all calls.
 func (c *Core) Waiting() int { return c.waiting }
 
+// Ringing is the number of calls whose number rings.
+func (c *Core) Ringing() int { return c.ringing }
+
 // Open is the number of calls in the table.
 func (c *Core) Open() int { return len(c.calls) }
 
--- a/controller/view.go
+++ b/controller/view.go
@@ -64,6 +64,8 @@
 		switch {
 		case k.phase == standing:
 			v.State = "standing"
+		case k.rings:
+			v.State = "ringing"
 		case k.to != nil:
 			v.State = "setting"
 		default:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,6 +84,7 @@
 	id     uint64 // of a call
 	call   func()
 	advice *hooks.Advice
+	at     time.Duration // of frames: when they were read
 }
 
 // base is added to the time since the start: the module takes 0 for long ago.
@@ -325,6 +326,7 @@
 	case evAdvice:
 		d.guarded("advice", nil, func() { d.core.Advise(d.now(), ev.id, ev.pc, ev.advice) })
 	case evFrames:
+		d.core.Late(d.now()-ev.at, 1)
 		d.guarded("frames", l, func() { d.frames(l, *ev.batch) })
 		batches.Put(ev.batch)
 	}
--- a/daemon/link.go
+++ b/daemon/link.go
@@ -220,7 +220,7 @@
 		if len(*batch) > 0 && (!sc.Buffered() || len(*batch) > 12*1024) {
 			full := batch
 			batch = newBatch()
-			if !pass(event{kind: evFrames, link: l, batch: full}) {
+			if !pass(event{kind: evFrames, link: l, batch: full, at: now}) {
 				return
 			}
 		}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -25,6 +25,8 @@
 	outcomes     *prometheus.CounterVec
 	setUp        *prometheus.HistogramVec
 	stands       []prometheus.Observer // by class
+	answer       *prometheus.HistogramVec
+	answers      []prometheus.Observer
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -39,11 +41,14 @@
 	m.turnedAway = counter("umbergauge_clients_turned_away_total", "Connections beyond limits.clients.")
 	m.hookFailures = counter("umbergauge_hook_failures_total", "Runs of hooks that failed.")
 	m.outcomes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "umbergauge_calls_total", Help: "Calls by class and outcome."}, []string{"class", "outcome"})
-	m.setUp = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "umbergauge_set_up_seconds", Help: "From IAM in to answer out.",
+	m.setUp = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "umbergauge_set_up_seconds", Help: "Of calls that stood: from IAM in to ACM out, or the answer where no ACM came.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"class"})
-	m.registry.MustRegister(m.outcomes, m.setUp, m, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.answer = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "umbergauge_answer_seconds", Help: "From IAM in to answer out, ringing included.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 18)}, []string{"class"})
+	m.registry.MustRegister(m.outcomes, m.setUp, m.answer, m, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, c := range d.cfg.Classes {
 		m.stands = append(m.stands, m.setUp.WithLabelValues(c.Name))
+		m.answers = append(m.answers, m.answer.WithLabelValues(c.Name))
 	}
 	return m
 }
@@ -54,7 +59,8 @@
 	}
 	m.outcomes.WithLabelValues(m.d.cfg.Classes[e.Class].Name, e.Outcome.String()).Inc()
 	if e.Outcome == controller.Stands {
-		m.stands[e.Class].Observe(e.After.Seconds())
+		m.stands[e.Class].Observe(e.SetUp.Seconds())
+		m.answers[e.Class].Observe(e.After.Seconds())
 	}
 }
 
@@ -80,6 +86,8 @@
 		{"attempts_timed_out_total", "Attempts without an answer in time.", c.TimedOut},
 		{"attempts_no_contact_total", "Attempts without an association.", c.NoContact},
 		{"attempts_not_sent_total", "Attempts that never left.", c.NotSent},
+		{"alerted_total", "Attempts that passed ACM: the processor's part was over.", c.Alerted},
+		{"no_answer_total", "Numbers that rang until T9 or their caller's patience was over.", c.NoAnswer},
 		{"late_answers_total", "Answers after the own time-out.", c.LateAnswers},
 		{"transit_calls_total", "Calls taken in transit.", c.Transit},
 		{"queue_full_total", "Frames that found the queue of their association full.", c.QueueFull},
@@ -93,6 +101,7 @@
 	}
 	emit(prometheus.GaugeValue, "open_calls", "Calls in the table.", float64(s.open))
 	emit(prometheus.GaugeValue, "waiting_calls", "Calls owed a final answer.", float64(s.waiting))
+	emit(prometheus.GaugeValue, "ringing_calls", "Calls whose number rings.", float64(s.ringing))
 	emit(prometheus.GaugeValue, "event_queue", "Events waiting for the decision goroutine.", float64(len(m.d.events)))
 	for _, g := range s.groups {
 		emit(prometheus.GaugeValue, "circuits_free", "Circuits that can be seized.", float64(g.Free), g.label())
@@ -118,6 +127,7 @@
 type snapshot struct {
 	counters      controller.Counters
 	open, waiting int
+	ringing       int
 	groups        []groupView
 	views         []brain.View
 }
@@ -127,7 +137,7 @@
 func (g groupView) label() string { return label(g.Far) }
 
 func (d *Daemon) snapshot() snapshot {
-	s := snapshot{counters: d.core.Counters, open: d.core.Open(), waiting: d.core.Waiting(), views: d.core.Views()}
+	s := snapshot{counters: d.core.Counters, open: d.core.Open(), waiting: d.core.Waiting(), ringing: d.core.Ringing(), views: d.core.Views()}
 	for _, g := range d.core.Groups() {
 		s.groups = append(s.groups, groupView{g})
 	}
--- a/day/draw.go
+++ b/day/draw.go
@@ -6,8 +6,42 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/umbergauge/umbergauge/standin"
 )
 
+// ring gives a day ringing numbers and, unless it is quiet, mostly thin faults too. Its chance is a stream of its own, so
+// that the day is the same without them.
+func (d *Day) ring(quiet bool) {
+	rng := rand.New(rand.NewPCG(d.Seed, 0x41))
+	between := func(a, b float64) float64 { return math.Round(100*(a+(b-a)*rng.Float64())) / 100 }
+	for i := range d.Traffic.Classes {
+		c := &d.Traffic.Classes[i]
+		c.Ring = time.Duration(12+rng.IntN(9)) * time.Second
+		c.Ringing = standin.Ringing{Median: time.Duration(between(1.5, 5) * float64(time.Second)), Spread: between(0.3, 0.7),
+			NoAnswer: between(0.01, 0.05), Busy: between(0, 0.02)}
+	}
+	kinds := []Kind{ThinFull, ThinSilent, ThinReset}
+	if x := rng.IntN(4); x < len(kinds) && !quiet {
+		d.Troubles = append(d.Troubles, Trouble{Kind: kinds[x], At: 2 * time.Second, For: d.Length, Part: between(0.3, 1), Size: between(0.01, 0.06)})
+	}
+}
+
+// WithoutRinging is the day with numbers that answer at once, and without thin faults.
+func (d Day) WithoutRinging() *Day {
+	d.Traffic.Classes = slices.Clone(d.Traffic.Classes)
+	for i := range d.Traffic.Classes {
+		d.Traffic.Classes[i].Ring, d.Traffic.Classes[i].Ringing = 0, standin.Ringing{}
+	}
+	d.Troubles = slices.DeleteFunc(slices.Clone(d.Troubles), func(x Trouble) bool {
+		return x.Kind == ThinFull || x.Kind == ThinSilent || x.Kind == ThinReset
+	})
+	return &d
+}
+
+// drawn are the kinds of trouble that Draw mixes; thin faults come beside them.
+var drawn = slices.DeleteFunc(slices.Clone(Kinds), func(k Kind) bool { return k == ThinFull || k == ThinSilent || k == ThinReset })
+
 // Draw draws a day from a seed: quiet, trouble (one to three troubles), overload (trouble with more calls than planned),
 // or only:KIND. The same seed and kind give the same day.
 func Draw(seed uint64, kind string) (*Day, error) {
@@ -52,7 +86,7 @@
 		return nil, fmt.Errorf("%q is no kind of day; quiet, trouble, overload or only:KIND can be, KIND one of %v", kind, Kinds)
 	}
 	for i := range n {
-		k := Kinds[rng.IntN(len(Kinds))]
+		k := drawn[rng.IntN(len(drawn))]
 		if i < len(kinds) {
 			k = kinds[i]
 		}
@@ -79,6 +113,8 @@
 			d.Traffic.Tenants, d.Traffic.Door = []Tenant{{"city", 0.2}, {"town", 0.4}, {"ward", 0.4}}, 1.2
 		case ListLate:
 			x.Size, x.For, x.At = between(3, 8), d.Length, 0
+		case ThinFull, ThinSilent, ThinReset:
+			x.Size, x.Part = between(0.01, 0.1), 1
 		case Replace:
 			x.For = span(8, 12)
 		case AssocReset:
@@ -89,6 +125,7 @@
 	if kind == "only:"+string(ListLate) { // late word of something
 		d.Troubles = append(d.Troubles, Trouble{Kind: Crash, At: 5 * time.Second, For: 8 * time.Second, Part: 0.2})
 	}
+	d.ring(kind == "quiet" || len(kinds) > 0)
 	return &d, nil
 }
 
@@ -112,6 +149,12 @@
 		{Kind: AssocReset, At: 27 * s, For: s, Part: 0.34},
 		{Kind: RegionCut, At: 30 * s, For: 5 * s, Region: "busan"},
 		{Kind: Impatient, At: 30 * s, For: 10 * s, Size: 0.2},
+		{Kind: ThinFull, At: 2 * s, For: 40 * s, Part: 0.5, Size: 0.02},
+		{Kind: ThinSilent, At: 2 * s, For: 40 * s, Part: 0.5, Size: 0.02},
+	}
+	for i := range d.Traffic.Classes {
+		d.Traffic.Classes[i].Ring = 15 * s
+		d.Traffic.Classes[i].Ringing = standin.Ringing{Median: 3 * s, Spread: 0.5, NoAnswer: 0.03, Busy: 0.01}
 	}
 	return &d
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -83,6 +84,7 @@
 	Name       string        `yaml:"name"`
 	Aim        time.Duration `yaml:"aim"`
 	Patience   time.Duration `yaml:"patience"`
+	Ring       time.Duration `yaml:"ring,omitempty"`
 	Worth      float64       `yaml:"worth"`
 	LateWorth  float64       `yaml:"late_worth"`
 	Categories []int         `yaml:"categories"`
@@ -114,6 +116,8 @@
 type Timers struct {
 	T1   time.Duration `yaml:"t1"`
 	T5   time.Duration `yaml:"t5"`
+	T7   time.Duration `yaml:"t7,omitempty"`
+	T9   time.Duration `yaml:"t9,omitempty"`
 	T16  time.Duration `yaml:"t16"`
 	T28  time.Duration `yaml:"t28"`
 	Hold time.Duration `yaml:"signalling_hold"`
@@ -158,7 +162,7 @@
 		Network: 2, Log: Log{"info", "json"}, Guard: 200 * time.Millisecond, MaxAttempts: 4,
 		AnswerMargin: 100 * time.Millisecond, CutMemory: 10 * time.Second, Hops: 5, DrainLimit: 30 * time.Second, OverQuotaWorth: 1,
 		Cold:   Cold{15 * time.Second, 0.3, 2, 3 * time.Second},
-		Timers: Timers{15 * time.Second, 5 * time.Minute, 15 * time.Second, 10 * time.Second, 10 * time.Second},
+		Timers: Timers{15 * time.Second, 5 * time.Minute, 20 * time.Second, 90 * time.Second, 15 * time.Second, 10 * time.Second, 10 * time.Second},
 		Association: Association{2 * time.Second, 3, 5 * time.Second, 10 * time.Second, 2 * time.Second, 5 * time.Second,
 			100 * time.Millisecond, 5 * time.Second, 1 << 20},
 		Limits: Limits{Calls: 100_000, Clients: 1000, Events: 4096, Handshakes: 200},
@@ -310,8 +314,13 @@
 
 // address says what is wrong with a host and port.
 func (v *Checker) address(key, a string) {
-	if _, _, err := net.SplitHostPort(a); err != nil {
+	_, port, err := net.SplitHostPort(a)
+	if err != nil {
 		v.Fail(key, "%q is no address of the form host:port", a)
+		return
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		v.Fail(key, "%q: the port must be 0 to 65535", a)
 	}
 }
 
@@ -350,6 +359,8 @@
 	v.span("cold.fall_span", c.Cold.FallSpan, 0, time.Minute)
 	v.span("timers.t1", c.Timers.T1, 100*time.Millisecond, time.Minute)
 	v.span("timers.t5", c.Timers.T5, c.Timers.T1, 15*time.Minute)
+	v.span("timers.t7", c.Timers.T7, 100*time.Millisecond, time.Minute)
+	v.span("timers.t9", c.Timers.T9, time.Second, 10*time.Minute)
 	v.span("timers.t16", c.Timers.T16, 100*time.Millisecond, time.Minute)
 	v.span("timers.t28", c.Timers.T28, 100*time.Millisecond, time.Minute)
 	v.span("timers.signalling_hold", c.Timers.Hold, 0, 10*time.Minute)
@@ -387,6 +398,8 @@
 		names[cl.Name] = true
 		v.span(key("aim"), cl.Aim, time.Millisecond, time.Minute)
 		v.span(key("patience"), cl.Patience, time.Millisecond, 2*time.Minute)
+		v.Must(cl.Patience >= cl.Aim, key("patience"), "%v is under the aim of %v: its callers give up before a call can be late", cl.Patience, cl.Aim)
+		v.Must(cl.Ring == 0 || cl.Ring >= time.Second && cl.Ring <= 10*time.Minute, key("ring"), "%v; 1s to 10m can be", cl.Ring)
 		v.Must(cl.Patience > c.AnswerMargin, key("patience"), "%v, not above answer_margin %v: no call could be answered in time", cl.Patience, c.AnswerMargin)
 		v.Must(cl.Worth >= 0, key("worth"), "%v is negative", cl.Worth)
 		v.Must(cl.LateWorth >= 0 && cl.LateWorth <= 1, key("late_worth"), "%v; 0 to 1 can be", cl.LateWorth)
@@ -449,7 +462,7 @@
 func (c *Config) Controller() controller.Config {
 	out := controller.Config{
 		PointCode: c.Exchange, Network: c.Network, AnswerMargin: c.AnswerMargin, CutMemory: c.CutMemory, Hops: byte(c.Hops),
-		MaxCalls: c.Limits.Calls, ClientT1: c.Timers.T1,
+		MaxCalls: c.Limits.Calls, ClientT1: c.Timers.T1, T7: c.Timers.T7, T9: c.Timers.T9,
 		Trunk: trunk.Timers{T1: c.Timers.T1, T5: c.Timers.T5, T16: c.Timers.T16, T28: c.Timers.T28, Hold: c.Timers.Hold},
 		Brain: brain.Config{Seed: c.Seed, Controllers: len(c.Exchanges), OverQuotaWorth: c.OverQuotaWorth, MaxAttempts: c.MaxAttempts,
 			Guard: c.Guard, Repeat: c.Repeat, WarmUp: c.Cold.WarmUp, ColdShare: c.Cold.Share, FallMultiple: c.Cold.FallMultiple,
@@ -457,7 +470,7 @@
 	}
 	for _, cl := range c.Classes {
 		out.Brain.Classes = append(out.Brain.Classes, brain.Class{Aim: cl.Aim, Worth: cl.Worth, LateWorth: cl.LateWorth, Circuits: 1, Repeatable: true})
-		k := controller.Class{Name: cl.Name, Patience: cl.Patience}
+		k := controller.Class{Name: cl.Name, Patience: cl.Patience, Ring: cl.Ring}
 		for _, cat := range cl.Categories {
 			k.Categories = append(k.Categories, isup.Category(cat))
 		}
--- a/isup/isup.go
+++ b/isup/isup.go
@@ -83,6 +83,7 @@
 	CauseNoRoute       Cause = 3
 	CauseNormal        Cause = 16
 	CauseUserBusy      Cause = 17
+	CauseNoUser        Cause = 18
 	CauseNoAnswer      Cause = 19
 	CauseRejected      Cause = 21
 	CauseOutOfOrder    Cause = 27
