--- /dev/null
+++ b/bench/open.go
@@ -0,0 +1,203 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/load"
+	"github.com/umbergauge/umbergauge/standin"
+	"github.com/umbergauge/umbergauge/standin/serve"
+)
+
+// OpenCase is one controller in front of far exchanges that are well: what it carries should be bounded by their
+// processors and circuits alone.
+type OpenCase struct {
+	Name     string        `json:"name"`
+	Far      int           `json:"far"`
+	Rate     float64       `json:"rate"`   // calls a second offered
+	Answer   time.Duration `json:"answer"` // the way there and back
+	Ring     time.Duration `json:"ring"`   // from ACM to ANM
+	Thin     serve.Thin    `json:"thin"`
+	Circuits int           `json:"circuits"` // of each group; 0: all that a group can have
+	Aim      time.Duration `json:"aim"`
+	Patience time.Duration `json:"patience"`
+	Span     time.Duration `json:"span"`
+}
+
+// OpenResult is what became of a case.
+type OpenResult struct {
+	OpenCase
+	Load    load.Totals    `json:"load"`
+	Share   float64        `json:"stood_share"` // of all offered
+	Settled float64        `json:"settled"`     // of those offered after the first five seconds
+	Bound   float64        `json:"bound"`       // share that the circuits leave (Erlang B)
+	OpenIn  time.Duration  `json:"open_in"`     // first second from which on 95% of the bound stood; below zero: never
+	SetUpUS load.Quantiles `json:"set_up_us"`
+	CPU     float64        `json:"cores"` // that the controller used
+}
+
+// settling is what a case is given before it is counted.
+const settling = 5 * time.Second
+
+const openHold = 200 * time.Millisecond
+
+// OpenTable are the cases of a user's first trial: three far exchanges, nothing loaded.
+func OpenTable(span time.Duration) []OpenCase {
+	c := func(name string, rate float64, ring time.Duration, thin serve.Thin) OpenCase {
+		x := OpenCase{Name: name, Far: 3, Rate: rate, Answer: 20 * time.Millisecond, Ring: ring, Thin: thin, Span: span}
+		if ring >= 5*time.Second {
+			x.Aim, x.Patience = 20*time.Second, 60*time.Second
+		}
+		return x
+	}
+	return []OpenCase{
+		c("150/s", 150, 0, serve.Thin{}), c("600/s", 600, 0, serve.Thin{}),
+		c("50/s, rings 1 s", 50, time.Second, serve.Thin{}), c("50/s, rings 8 s", 50, 8*time.Second, serve.Thin{}),
+		c("150/s, 1% full", 150, 0, serve.Thin{Full: 0.01}), c("150/s, 5% full", 150, 0, serve.Thin{Full: 0.05}),
+		c("150/s, 10% full", 150, 0, serve.Thin{Full: 0.1}),
+		c("150/s, 3% unanswered", 150, 0, serve.Thin{Silent: 0.03}), c("150/s, 10% unanswered", 150, 0, serve.Thin{Silent: 0.1}),
+		c("150/s, 3% reset", 150, 0, serve.Thin{Reset: 0.03}), c("150/s, 10% reset", 150, 0, serve.Thin{Reset: 0.1}),
+		c("150/s, 20% failed (41)", 150, 0, serve.Thin{Failed: 0.2}),
+	}
+}
+
+// OpenMatrix are cases by far exchanges, answer time and ringing.
+func OpenMatrix(span time.Duration, rate float64) (out []OpenCase) {
+	for _, far := range []int{1, 3, 76} {
+		for _, answer := range []time.Duration{5, 20, 70, 300} {
+			out = append(out, OpenCase{Name: fmt.Sprintf("%d far, answers after %d ms", far, answer), Far: far, Rate: rate, Answer: answer * time.Millisecond, Span: span})
+		}
+	}
+	for _, far := range []int{1, 3, 76} {
+		for _, ring := range []time.Duration{1, 8, 30} {
+			out = append(out, OpenCase{Name: fmt.Sprintf("%d far, rings %d s", far, ring), Far: far, Rate: min(rate, 150), Answer: 20 * time.Millisecond,
+				Ring: ring * time.Second, Span: span + ring*time.Second})
+		}
+	}
+	return append(out, OpenCase{Name: "76 far, 792/s", Far: 76, Rate: 792, Answer: 20 * time.Millisecond, Span: span})
+}
+
+// ErlangB is the share of calls that a full group loses (Q.543; ITU-T E.501): load in erlangs offered to n circuits.
+func ErlangB(load float64, n int) float64 {
+	b := 1.0
+	for i := 1; i <= n; i++ {
+		b = load * b / (float64(i) + load*b)
+	}
+	return b
+}
+
+// Open runs one case: program is the binary that is run as the controller.
+func Open(ctx context.Context, program string, o OpenCase, progress io.Writer) (res OpenResult, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if o.Circuits == 0 {
+		o.Circuits = circuits
+	}
+	if o.Aim == 0 {
+		o.Aim, o.Patience = 2*time.Second, 10*time.Second
+	}
+	res.OpenCase = o
+	sw := serve.Config{Seed: 1, Delay: o.Answer / 2}
+	if o.Ring > 0 {
+		sw.Ringing = []serve.Class{{Category: 10, Ringing: standin.Ringing{Median: o.Ring}}}
+	}
+	c := config.Default()
+	c.Exchange, c.Log.Level, c.Limits.Calls = selfPC, "error", 1_000_000
+	c.Timers.T7, c.Timers.T9 = 0, 0 // not written: older builds don't know them
+	c.Classes = []config.Class{{Name: "a", Aim: o.Aim, Patience: o.Patience, Worth: 1}}
+	var numbers []load.Numbers
+	own := serve.Switch{PointCode: selfPC, Listen: "127.0.0.1:0", Prefixes: []string{"8200"}, Circuits: map[uint32]int{}}
+	for i := range o.Far {
+		pc, prefix := uint32(firstFar+i), fmt.Sprintf("82%02d", i+1)
+		own.Circuits[pc] = o.Circuits
+		sw.Switches = append(sw.Switches, serve.Switch{PointCode: pc, Listen: "127.0.0.1:0", Prefixes: []string{prefix},
+			Circuits: map[uint32]int{selfPC: o.Circuits}, Thin: o.Thin})
+		numbers = append(numbers, load.Numbers{Prefix: prefix, Length: 10, Share: 1})
+	}
+	sw.Switches = append(sw.Switches, own)
+	set, err := serve.Start(&sw)
+	if err != nil {
+		return res, err
+	}
+	defer set.Close()
+	for i := range o.Far + 1 {
+		x := config.Exchange{PointCode: uint32(selfPC + i), Switch: []string{set.Addrs[uint32(selfPC+i)]}, Prefixes: []string{fmt.Sprintf("82%02d", i)}}
+		if i > 0 {
+			x.Circuits = o.Circuits
+		}
+		c.Exchanges = append(c.Exchanges, x)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return res, err
+	}
+	c.Listen = l.Addr().String()
+	l.Close()
+	dir, err := os.MkdirTemp("", "umbergauge-open")
+	if err != nil {
+		return res, err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, "controller.yaml")
+	b, err := yaml.Marshal(&c)
+	if err != nil {
+		return res, err
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return res, err
+	}
+	cmd := exec.CommandContext(ctx, program, "run", "-c", file)
+	cmd.Stderr = progress
+	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGKILL) }
+	if err := cmd.Start(); err != nil {
+		return res, err
+	}
+	defer func() {
+		cancel()
+		cmd.Wait()
+	}()
+	select { // its associations and queries
+	case <-time.After(1500*time.Millisecond + time.Duration(o.Far)*20*time.Millisecond + 4*o.Answer):
+	case <-ctx.Done():
+		return res, ctx.Err()
+	}
+	lc := load.Default()
+	lc.Controller, lc.Exchange, lc.Rate, lc.Span = c.Listen, selfPC, o.Rate, o.Span
+	lc.Clients = 2 + int(o.Rate*(o.Ring.Seconds()+1)/2000) // 4095 circuits each
+	lc.Numbers = numbers
+	lc.Classes = []load.Class{{Name: "a", Share: 1, Category: 10, Hold: openHold, Patience: o.Patience, Ring: 90 * time.Second}}
+	cpu, begin := cpuTime(cmd.Process.Pid), time.Now()
+	rep, err := load.Run(ctx, &lc, load.Options{})
+	if err != nil {
+		return res, err
+	}
+	res.CPU = (cpuTime(cmd.Process.Pid) - cpu).Seconds() / time.Since(begin).Seconds()
+	res.Load, res.SetUpUS = rep.Totals, rep.SetUpUS
+	res.Share = float64(rep.Totals.Stood) / float64(max(1, rep.Totals.Offered))
+	erlang := o.Rate / float64(o.Far) * (o.Answer + o.Ring + openHold + o.Answer).Seconds()
+	res.Bound = 1 - ErlangB(erlang, o.Circuits)
+	offered, stood := 0, 0
+	res.OpenIn = -1
+	for i, s := range rep.Seconds {
+		if time.Duration(i)*time.Second >= settling {
+			offered, stood = offered+int(s.Offered), stood+int(s.Stood)
+		}
+		if good := float64(s.Stood) >= 0.95*res.Bound*float64(s.Offered); good && res.OpenIn < 0 {
+			res.OpenIn = time.Duration(i) * time.Second
+		} else if !good && time.Duration(i)*time.Second < settling {
+			res.OpenIn = -1
+		}
+	}
+	res.Settled = float64(stood) / float64(max(1, offered))
+	return res, nil
+}
--- a/cmd/umbergauge/bench.go
+++ b/cmd/umbergauge/bench.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -95,6 +96,61 @@
 	f.BoolVar(&so.Calm, "calm", false, "make no faults")
 	f.Uint64Var(&so.Seed, "seed", 1, "of load and faults")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
-	c.AddCommand(path, soak, relay)
+	var span time.Duration
+	var rate float64
+	var matrix bool
+	var program, only string
+	open := &cobra.Command{
+		Use:   "open",
+		Short: "What one controller carries in front of far exchanges that are well, ringing and thin faults included",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if span < 8*time.Second || span > 10*time.Minute || rate <= 0 || rate > 10000 {
+				return fmt.Errorf("a span of 8s to 10m and a rate of up to 10000 can be")
+			}
+			if program == "" {
+				var err error
+				if program, err = os.Executable(); err != nil {
+					return err
+				}
+			}
+			cases := bench.OpenTable(span)
+			if matrix {
+				cases = bench.OpenMatrix(span, rate)
+			}
+			w := cmd.OutOrStdout()
+			var all []bench.OpenResult
+			for _, x := range cases {
+				if !strings.Contains(x.Name, only) {
+					continue
+				}
+				res, err := bench.Open(cmd.Context(), program, x, cmd.ErrOrStderr())
+				if err != nil {
+					return short{err}
+				}
+				all = append(all, res)
+				if !asJSON {
+					opened := "never"
+					if res.OpenIn >= 0 {
+						opened = fmt.Sprintf("%2.0f s", res.OpenIn.Seconds())
+					}
+					fmt.Fprintf(w, "%-26s offered %6d: stood %.3f, after 5 s %.3f of %.3f that circuits leave; open within %s; set-up p50 %.1f p99 %.1f ms; %.2f cores\n",
+						x.Name, res.Load.Offered, res.Share, res.Settled, res.Bound, opened, float64(res.SetUpUS.P50)/1000, float64(res.SetUpUS.P99)/1000, res.CPU)
+				}
+			}
+			if asJSON {
+				return json.NewEncoder(w).Encode(all)
+			}
+			return nil
+		},
+	}
+	f = open.Flags()
+	f.DurationVar(&span, "span", 20*time.Second, "of each case; ringing comes on top")
+	f.Float64Var(&rate, "rate", 600, "calls a second of the matrix")
+	f.BoolVar(&matrix, "matrix", false, "1, 3 and 76 far exchanges by answer times and ringing, in place of the table")
+	f.StringVar(&only, "only", "", "cases whose name holds this")
+	f.StringVar(&program, "program", "", "another build that is run as the controller")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	c.AddCommand(path, open, soak, relay)
 	return c
 }
--- a/cmd/umbergauge/load.go
+++ b/cmd/umbergauge/load.go
@@ -42,12 +42,13 @@
 				return e.Encode(rep)
 			}
 			t := rep.Totals
-			fmt.Fprintf(w, "offered %d (%.1f a second), tries %d: stood %d, refused %d, given up %d\n", t.Offered, rep.Reached, t.Tries, t.Stood, t.Refused, t.GivenUp)
+			fmt.Fprintf(w, "offered %d (%.1f a second), tries %d: rang %d, stood %d, refused %d, given up %d, left while it rang %d\n", t.Offered, rep.Reached, t.Tries, t.Rang, t.Stood, t.Refused, t.GivenUp, t.RangOut)
 			fmt.Fprintf(w, "of those that stood: finished %d, cut %d; congestion told %d times; not connected %d, no circuit %d\n", t.Finished, t.Cut, t.CongestionTold, t.NotConnected, t.NoCircuit)
 			for _, k := range slices.Sorted(maps.Keys(t.Causes)) {
 				fmt.Fprintf(w, "  cause %-4s %d\n", k, t.Causes[k])
 			}
-			fmt.Fprintf(w, "set-up from when the call was due: p50 %d p90 %d p99 %d p99.9 %d max %d us\n", rep.SetUpUS.P50, rep.SetUpUS.P90, rep.SetUpUS.P99, rep.SetUpUS.P999, rep.SetUpUS.Max)
+			fmt.Fprintf(w, "set-up (to ACM) from when the call was due: p50 %d p90 %d p99 %d p99.9 %d max %d us\n", rep.SetUpUS.P50, rep.SetUpUS.P90, rep.SetUpUS.P99, rep.SetUpUS.P999, rep.SetUpUS.Max)
+			fmt.Fprintf(w, "answer from when the call was due: p50 %d p90 %d p99 %d us\n", rep.AnswerUS.P50, rep.AnswerUS.P90, rep.AnswerUS.P99)
 			fmt.Fprintf(w, "own lateness: p99 %d max %d us\n", rep.LateUS.P99, rep.LateUS.Max)
 			return nil
 		},
--- /dev/null
+++ b/cmd/umbergauge/switch.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/umbergauge/umbergauge/standin/serve"
+)
+
+func switchCommand() *cobra.Command {
+	var file string
+	var quiet bool
+	c := &cobra.Command{
+		Use:   "switch -c FILE",
+		Short: "Run stand-in switches, for trying a controller without a network around it, until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := serve.Load(file)
+			if err != nil {
+				return short{err}
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			s, err := serve.Start(cfg)
+			if err != nil {
+				return short{err}
+			}
+			defer s.Close()
+			for _, x := range cfg.Switches {
+				fmt.Fprintf(cmd.OutOrStdout(), "switch %d at %s\n", x.PointCode, s.Addrs[x.PointCode])
+			}
+			tick := time.NewTicker(5 * time.Second)
+			defer tick.Stop()
+			last := ""
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-tick.C:
+				}
+				var b strings.Builder
+				pcs, n := s.Standing()
+				for i, pc := range pcs {
+					fmt.Fprintf(&b, " %d:%d", pc, n[i])
+				}
+				if line := b.String(); !quiet && line != last {
+					last = line
+					fmt.Fprintf(cmd.ErrOrStderr(), "calls that stand, by switch:%s\n", line)
+				}
+			}
+		},
+	}
+	c.Flags().StringVarP(&file, "config", "c", "", "file of the switches")
+	c.Flags().BoolVarP(&quiet, "quiet", "q", false, "don't show the calls that stand")
+	c.MarkFlagRequired("config")
+	return c
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -312,8 +312,8 @@
 // maxPC is the highest point code of 14 bits (Q.704, 2.2.3).
 const maxPC = 1<<14 - 1
 
-// address says what is wrong with a host and port.
-func (v *Checker) address(key, a string) {
+// Address says what is wrong with a host and port.
+func (v *Checker) Address(key, a string) {
 	_, port, err := net.SplitHostPort(a)
 	if err != nil {
 		v.Fail(key, "%q is no address of the form host:port", a)
@@ -336,11 +336,11 @@
 	if c.Listen == "" {
 		v.Fail("listen", "is missing: where clients connect")
 	} else {
-		v.address("listen", c.Listen)
+		v.Address("listen", c.Listen)
 	}
 	for key, a := range map[string]string{"control": c.Control, "metrics": c.Metrics} {
 		if a != "" {
-			v.address(key, a)
+			v.Address(key, a)
 		}
 	}
 	v.Must(slices.Contains([]string{"debug", "info", "warn", "error"}, c.Log.Level), "log.level", "%q; debug, info, warn or error can be", c.Log.Level)
@@ -439,7 +439,7 @@
 		v.Must(len(x.Switch) > 0, key("switch"), "is missing: the addresses of the switch")
 		for j, a := range x.Switch {
 			k := fmt.Sprintf("exchanges[%d].switch[%d]", i, j)
-			v.address(k, a)
+			v.Address(k, a)
 			v.Must(addrs[a] == 0, k, "%s is the address of exchange %d already", a, addrs[a])
 			addrs[a] = x.PointCode
 		}
--- a/load/arrivals.go
+++ b/load/arrivals.go
@@ -42,8 +42,9 @@
 	Name     string        `yaml:"name"`
 	Share    float64       `yaml:"share"`
 	Category int           `yaml:"category"`
-	Hold     time.Duration `yaml:"hold"` // on average
-	Patience time.Duration `yaml:"patience"`
+	Hold     time.Duration `yaml:"hold"`     // on average
+	Patience time.Duration `yaml:"patience"` // of a try, till it rings or is answered
+	Ring     time.Duration `yaml:"ring"`     // it is let ring so long; 0: a minute
 }
 
 // Numbers are called numbers: a prefix and as many random digits as are missing to the length.
@@ -56,7 +57,7 @@
 // Default has the values of keys that a file may leave out.
 func Default() Config {
 	return Config{PointCode: 9000, Clients: 1, Seed: 1, Span: 10 * time.Second, Rate: 10, Process: "poisson", Redial: time.Second,
-		Classes: []Class{{"ordinary", 1, 10, 5 * time.Second, 3 * time.Second}}}
+		Classes: []Class{{"ordinary", 1, 10, 5 * time.Second, 3 * time.Second, time.Minute}}}
 }
 
 // Load reads and checks a file. The error is config.Faults, or that of reading the file.
@@ -90,6 +91,10 @@
 		v.Must(x.Category >= 0 && x.Category < 256, key("category"), "%d is no calling party's category", x.Category)
 		v.Must(x.Hold > 0, key("hold"), "%v; it must be above 0", x.Hold)
 		v.Must(x.Patience > 0, key("patience"), "%v; it must be above 0", x.Patience)
+		v.Must(x.Ring >= 0 && x.Ring <= 10*time.Minute, key("ring"), "%v; 0 to 10m can be", x.Ring)
+		if x.Ring == 0 {
+			c.Classes[i].Ring = time.Minute
+		}
 	}
 	v.Must(len(c.Numbers) > 0, "numbers", "is missing: what is dialled")
 	for i, x := range c.Numbers {
--- a/load/run.go
+++ b/load/run.go
@@ -19,9 +19,11 @@
 type Totals struct {
 	Offered      uint64            `json:"offered"` // first tries
 	Tries        uint64            `json:"tries"`
+	Rang         uint64            `json:"rang"`
 	Stood        uint64            `json:"stood"`
 	Refused      uint64            `json:"refused"`
 	GivenUp      uint64            `json:"given_up"`
+	RangOut      uint64            `json:"rang_out"` // callers who left while it rang
 	Cut          uint64            `json:"cut"`
 	Finished     uint64            `json:"finished"`
 	NotConnected uint64            `json:"not_connected"`
@@ -33,11 +35,19 @@
 
 // Report is the outcome of a load.
 type Report struct {
-	Span    time.Duration `json:"span"`
-	Totals  Totals        `json:"totals"`
-	SetUpUS Quantiles     `json:"set_up_us"` // from when the call was due to its answer
-	LateUS  Quantiles     `json:"late_us"`   // from when it was due to when it was sent: this program's own lateness
-	Reached float64       `json:"offered_per_second"`
+	Span     time.Duration `json:"span"`
+	Totals   Totals        `json:"totals"`
+	SetUpUS  Quantiles     `json:"set_up_us"` // from when the call was due to ACM, or to its answer where no ACM came
+	AnswerUS Quantiles     `json:"answer_us"` // ... to its answer, ringing included
+	LateUS   Quantiles     `json:"late_us"`   // from when it was due to when it was sent: this program's own lateness
+	Reached  float64       `json:"offered_per_second"`
+	Seconds  []Second      `json:"seconds"` // by when a call was first due
+}
+
+// Second is what became of the calls that were first due in one second.
+type Second struct {
+	Offered uint32 `json:"offered"`
+	Stood   uint32 `json:"stood"`
 }
 
 // Quantiles of a histogram, in microseconds.
@@ -68,8 +78,10 @@
 	clients []*client
 	events  chan func()
 	setUp   *hdrhistogram.Histogram
+	answer  *hdrhistogram.Histogram
 	late    *hdrhistogram.Histogram
 	t       Totals
+	seconds []Second
 	refs    uint32
 	open    int
 	over    bool // nothing is dialled any more
@@ -79,6 +91,7 @@
 
 const (
 	waiting state = iota
+	ringing
 	standing
 	releasing
 )
@@ -105,7 +118,8 @@
 // queue is how many batches of frames wait for a client's socket; beyond, its connection is given up.
 const queue = 1024
 
-// Run offers a load and returns when its last call is over or given up, at most a minute after the span.
+// Run offers a load and returns when its last call is over or given up, at most a minute after the span, or as long as
+// its callers let it ring and talk, ten minutes at the most.
 func Run(ctx context.Context, c *Config, o Options) (Report, error) {
 	if o.Dial == nil {
 		var d net.Dialer
@@ -116,7 +130,7 @@
 	defer wg.Wait()
 	defer cancel()
 	r := &runner{c: c, o: o, start: time.Now(), wheel: timer.New[func()](0, time.Millisecond), events: make(chan func(), 4096),
-		setUp: hdrhistogram.New(1, 120_000_000, 3), late: hdrhistogram.New(1, 120_000_000, 3)}
+		setUp: hdrhistogram.New(1, 120_000_000, 3), answer: hdrhistogram.New(1, 1_200_000_000, 3), late: hdrhistogram.New(1, 120_000_000, 3)}
 	r.t.Causes = map[string]uint64{}
 	var up sync.WaitGroup
 	for i := range c.Clients {
@@ -148,7 +162,7 @@
 	r.start = time.Now()
 	r.wheel = timer.New[func()](0, time.Millisecond)
 	r.loop(ctx)
-	rep := Report{Span: time.Since(r.start), Totals: r.t, SetUpUS: quantiles(r.setUp), LateUS: quantiles(r.late), Reached: float64(r.t.Offered) / c.Span.Seconds()}
+	rep := Report{Span: time.Since(r.start), Totals: r.t, SetUpUS: quantiles(r.setUp), AnswerUS: quantiles(r.answer), LateUS: quantiles(r.late), Reached: float64(r.t.Offered) / c.Span.Seconds(), Seconds: r.seconds}
 	return rep, ctx.Err()
 }
 
@@ -158,6 +172,10 @@
 	arrivals := NewArrivals(r.c)
 	next, more := arrivals.Next()
 	end := r.c.Span + time.Minute
+	for _, cl := range r.c.Classes {
+		end = max(end, r.c.Span+cl.Ring+cl.Hold*8)
+	}
+	end = min(end, r.c.Span+10*time.Minute)
 	t := time.NewTimer(0)
 	defer t.Stop()
 	shown := time.Second
@@ -165,6 +183,10 @@
 		now := r.now()
 		for more && next.At <= now {
 			r.t.Offered++
+			for len(r.seconds) <= int(next.At/time.Second) {
+				r.seconds = append(r.seconds, Second{})
+			}
+			r.seconds[next.At/time.Second].Offered++
 			r.clients[next.Client].try(&call{Arrival: next, due: next.At, first: next.At, redials: r.c.Redials})
 			next, more = arrivals.Next()
 		}
@@ -178,7 +200,7 @@
 		r.over = now > r.c.Span
 		if now >= shown && r.o.Progress != nil {
 			shown += time.Second
-			fmt.Fprintf(r.o.Progress, "%4.0f s: offered %d, stood %d, refused %d, given up %d, open %d\n", now.Seconds(), r.t.Offered, r.t.Stood, r.t.Refused, r.t.GivenUp, r.open)
+			fmt.Fprintf(r.o.Progress, "%4.0f s: offered %d, rang %d, stood %d, refused %d, given up %d, open %d\n", now.Seconds(), r.t.Offered, r.t.Rang, r.t.Stood, r.t.Refused, r.t.GivenUp, r.open)
 		}
 		wake := 100 * time.Millisecond
 		if more {
@@ -403,13 +425,29 @@
 func (x *client) take(m *isup.Message) {
 	k, r := x.calls[m.CIC], x.r
 	switch m.Type {
-	case isup.ANM, isup.CON:
+	case isup.ACM, isup.CPG:
 		if k == nil || k.state != waiting {
 			return
 		}
-		r.t.Stood++
+		r.t.Rang++
 		r.setUp.RecordValue(max(1, (r.now() - k.due).Microseconds()))
 		r.wheel.Stop(k.timer)
+		k.state = ringing
+		k.timer = r.wheel.Set(r.now()+r.c.Classes[k.Class].Ring, func() {
+			r.t.RangOut++
+			x.leave(k)
+		})
+	case isup.ANM, isup.CON:
+		if k == nil || k.state != waiting && k.state != ringing {
+			return
+		}
+		r.t.Stood++
+		r.seconds[k.first/time.Second].Stood++
+		if k.state == waiting {
+			r.setUp.RecordValue(max(1, (r.now() - k.due).Microseconds()))
+		}
+		r.answer.RecordValue(max(1, (r.now() - k.due).Microseconds()))
+		r.wheel.Stop(k.timer)
 		k.state = standing
 		k.timer = r.wheel.Set(r.now()+k.Hold, func() {
 			r.t.Finished++
@@ -423,9 +461,11 @@
 		x.free(k)
 		r.t.Causes[fmt.Sprint(m.Cause)]++
 		switch {
-		case k.state == waiting:
+		case k.state == waiting, k.state == ringing:
 			r.t.Refused++
-			x.again(k)
+			if m.Cause != isup.CauseNoAnswer && m.Cause != isup.CauseNoUser { // nobody is there
+				x.again(k)
+			}
 		case m.Cause == isup.CauseNormal:
 			r.t.Finished++
 		default:
--- a/standin/processor.go
+++ b/standin/processor.go
@@ -13,8 +13,10 @@
 	timer  *time.Timer
 	busy   bool
 	hung   bool
-	slow   float64 // takes so many times as long
-	now    job
+	// instant: jobs take no time, and each is done as it comes.
+	instant bool
+	slow    float64 // takes so many times as long
+	now     job
 }
 
 type job struct {
@@ -62,6 +64,10 @@
 			work += p.now.extra(time.Since(p.now.queued))
 		}
 		p.busy = true
+		if p.instant {
+			p.finish()
+			return
+		}
 		p.timer.Reset(max(0, time.Duration(float64(work)*p.slow)))
 		return
 	}
--- a/standin/switch.go
+++ b/standin/switch.go
@@ -21,7 +21,7 @@
 	Circuits map[uint32]int // trunk groups by far exchange
 	Seed     uint64
 
-	Rate         float64       // set-ups a second that the warm processor can take
+	Rate         float64       // set-ups a second that the warm processor can take; 0: any number
 	FollowWork   float64       // work of an answer or a release, in set-ups
 	RejectWork   float64       // work of turning a set-up away, in set-ups
 	FullAfter    time.Duration // set-ups are turned away once they would wait so long
@@ -100,6 +100,7 @@
 	s := &Switch{cfg: cfg, net: n, events: make(chan func(), 4096), quit: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.PC))), proc: newProcessor(cfg.AnswersFirst), wires: map[uint32]*wire{},
 		calls: map[circuitKey]*swCall{}, lines: map[string]int{}, list: map[uint32]m3ua.Kind{}, lost: map[uint32][]uint16{}}
+	s.proc.instant = cfg.Rate <= 0
 	s.wg.Add(1)
 	go s.loop()
 	return s
@@ -354,6 +355,9 @@
 
 // work is a number of set-ups' worth of work, as long as it takes now.
 func (s *Switch) work(setUps float64) time.Duration {
+	if s.cfg.Rate <= 0 {
+		return 0
+	}
 	return time.Duration(setUps / s.cfg.Rate / s.capacity() * float64(time.Second))
 }
 
