--- a/brain/brain.go
+++ b/brain/brain.go
@@ -245,7 +245,9 @@
 	case Status:
 		if x := c.byAddr[ev.Exchange]; x != nil {
 			c.report(x, &ev.Report)
-			c.serve(x)
+			if x != c.own {
+				c.serve(x)
+			}
 		}
 	case Timer:
 		if ev.ID == stepTimer {
@@ -914,6 +916,13 @@
 		c.own.heldSum, c.own.heldAt = time.Duration(c.own.taken)*c.own.wait, c.now
 	}
 	c.resize(c.own)
+	if told && c.own.seen <= setLow { // what the far windows let out it can carry: it is not late
+		var all float64
+		for _, x := range c.order {
+			all += x.window
+		}
+		c.own.window = max(c.own.window, all)
+	}
 	for key, n := range c.numbers {
 		if n.out == 0 && c.now > max(n.busyAt, n.refusedAt)+numberKept {
 			delete(c.numbers, key)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -336,6 +336,7 @@
 	late      time.Duration // sum of the lateness of events ...
 	lateOf    int           // ... of so many
 	lateTold  time.Duration
+	ownHold   float64 // share of set-ups that the own switch asks to keep back, until it says otherwise
 }
 
 // New makes a controller. now is the present time, which must be above zero.
@@ -525,14 +526,14 @@
 	if c.ownAddr != "" && now >= c.lateTold+lateEvery {
 		c.lateTold = now
 		r := unknown
-		r.Wait = (c.late / time.Duration(max(1, c.lateOf))).Seconds()
+		r.Wait, r.HoldBack = (c.late / time.Duration(max(1, c.lateOf))).Seconds(), c.ownHold
 		c.late, c.lateOf = 0, 0
 		c.tell(brain.Status{Exchange: c.ownAddr, OK: true, Report: r})
 	}
 }
 
 // lateEvery is how often the module is told the own lateness.
-const lateEvery = 250 * time.Millisecond
+const lateEvery = 500 * time.Millisecond
 
 // Late notes how long events have waited for the decision goroutine: the own lateness, of n of them together.
 func (c *Core) Late(sum time.Duration, n int) { c.late, c.lateOf = c.late+sum, c.lateOf+n }
@@ -717,7 +718,7 @@
 		}
 	case OwnSwitch:
 		if c.own == a {
-			c.own = nil
+			c.own, c.ownHold = nil, 0
 		}
 	}
 }
@@ -840,9 +841,7 @@
 	var entries []brain.Entry
 	for _, p := range m.Affected {
 		if m.Kind == m3ua.SCON && a.peer.Kind == OwnSwitch && p.PC == c.cfg.PointCode { // its own: it is in every call's path
-			r := unknown
-			r.HoldBack = float64(m.Congestion) / 3
-			c.tell(brain.Status{Exchange: c.ownAddr, OK: true, Report: r})
+			c.ownHold = float64(m.Congestion) / 3
 		}
 		for _, f := range c.fars {
 			if p.Mask > 24 || f.PointCode>>p.Mask != p.PC>>p.Mask {
