--- a/bench/bench.go
+++ b/bench/bench.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/exec"
@@ -47,16 +48,21 @@
 	DelayMicros    [4]float64 `json:"delay_us_p50_p99_p999_max"` // IAM in to IAM out
 	CPUPerCall     float64    `json:"cpu_us_per_call"`
 	RSSMiB         float64    `json:"rss_mib"`
+	Out            float64    `json:"out"` // of the controller: calls owed an answer, on average
 }
 
 // Result is one run.
 type Result struct {
-	Exchanges  int        `json:"exchanges"`
-	Relay      Figures    `json:"relay"`
-	Controller Figures    `json:"controller"`
-	Ratio      float64    `json:"calls_ratio"` // controller to relay
-	AddedUS    [3]float64 `json:"added_delay_us_p50_p99_p999"`
-	Cores      int        `json:"cores"`
+	Exchanges      int        `json:"exchanges"`
+	Relay          Figures    `json:"relay"`           // as many calls under way as with the controller
+	Unbounded      Figures    `json:"relay_unbounded"` // sixteen times as many
+	Bounded        Figures    `json:"relay_bounded"`   // as many as the controller has out
+	Controller     Figures    `json:"controller"`
+	Ratio          float64    `json:"calls_ratio"` // controller to relay
+	RatioUnbounded float64    `json:"calls_ratio_unbounded"`
+	RatioBounded   float64    `json:"calls_ratio_bounded"`
+	AddedUS        [3]float64 `json:"added_delay_us_p50_p99_p999"`
+	Cores          int        `json:"cores"`
 }
 
 const (
@@ -77,6 +83,18 @@
 	if res.Controller, err = measure(ctx, o, false); err != nil {
 		return res, fmt.Errorf("controller: %w", err)
 	}
+	for _, x := range []struct {
+		window float64
+		to     *Figures
+		ratio  *float64
+	}{{float64(o.Window) * 16, &res.Unbounded, &res.RatioUnbounded}, {res.Controller.Out, &res.Bounded, &res.RatioBounded}} {
+		w := o
+		w.Window, w.Rate = min(4000, max(1, int(math.Round(x.window)))), 0
+		if *x.to, err = measure(ctx, w, true); err != nil {
+			return res, fmt.Errorf("relay: %w", err)
+		}
+		*x.ratio = res.Controller.CallsPerSecond / x.to.CallsPerSecond
+	}
 	res.Ratio = res.Controller.CallsPerSecond / res.Relay.CallsPerSecond
 	for i := range res.AddedUS {
 		res.AddedUS[i] = res.Controller.DelayMicros[i] - res.Relay.DelayMicros[i]
@@ -129,11 +147,18 @@
 	}
 	defer os.RemoveAll(dir)
 	var cmd *exec.Cmd
+	metrics := ""
 	if relay {
 		cmd = exec.CommandContext(ctx, o.Program, append([]string{"bench", "relay", listen}, addrs...)...)
 	} else {
 		file := filepath.Join(dir, "controller.yaml")
-		if err := writeSettings(file, listen, addrs, o.Hooks); err != nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return f, err
+		}
+		metrics = l.Addr().String()
+		l.Close()
+		if err := writeSettings(file, listen, metrics, addrs, o.Hooks); err != nil {
 			return f, err
 		}
 		cmd = exec.CommandContext(ctx, o.Program, "run", "-c", file)
@@ -162,12 +187,18 @@
 		return f, err
 	}
 	cpu := cpuTime(cmd.Process.Pid)
+	outs := make(chan float64, 1)
+	go func() { outs <- meanOut(metrics, o.Span) }()
 	done, refused, err := c.closedLoop(o.Window, o.Span)
+	f.Out = <-outs
 	if err != nil {
 		return f, err
 	}
 	f.CallsPerSecond, f.Refused = float64(done)/o.Span.Seconds(), refused
 	f.CPUPerCall = float64((cpuTime(cmd.Process.Pid) - cpu).Microseconds()) / float64(max(1, done))
+	if o.Rate <= 0 {
+		return f, nil
+	}
 	r.timing.Store(true)
 	if err := c.openLoop(o.Rate, o.Span); err != nil {
 		return f, err
@@ -182,8 +213,25 @@
 	return f, nil
 }
 
-func writeSettings(file, listen string, addrs, scripts []string) error {
+// meanOut is the mean number of calls that a controller owes an answer, sampled over a span; 0 without metrics.
+func meanOut(metrics string, span time.Duration) float64 {
+	const samples = 20
+	sum, n := 0.0, 0.0
+	for range samples {
+		time.Sleep(span / (samples + 2))
+		if metrics == "" {
+			continue
+		}
+		if m, err := scrape("http://" + metrics + "/metrics"); err == nil {
+			sum, n = sum+m["umbergauge_waiting_calls"], n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
+func writeSettings(file, listen, metrics string, addrs, scripts []string) error {
 	c := config.Default()
+	c.Metrics = metrics
 	c.Hooks.Files = scripts
 	c.Exchange, c.Listen, c.Log.Level = selfPC, listen, "error"
 	c.Classes = []config.Class{{Name: "a", Aim: 2 * time.Second, Patience: 10 * time.Second, Worth: 1}}
--- a/cmd/umbergauge/bench.go
+++ b/cmd/umbergauge/bench.go
@@ -40,11 +40,13 @@
 			for _, x := range []struct {
 				name string
 				f    bench.Figures
-			}{{"relay", res.Relay}, {"controller", res.Controller}} {
+			}{{"relay", res.Relay}, {"controller", res.Controller}, {"unbounded", res.Unbounded}, {"bounded", res.Bounded}} {
 				fmt.Fprintf(w, "%-11s %8.0f calls/s (refused %d), IAM to IAM p50 %.0f p99 %.0f p99.9 %.0f max %.0f us, CPU %.1f us a call, RSS %.0f MiB\n", x.name,
 					x.f.CallsPerSecond, x.f.Refused, x.f.DelayMicros[0], x.f.DelayMicros[1], x.f.DelayMicros[2], x.f.DelayMicros[3], x.f.CPUPerCall, x.f.RSSMiB)
 			}
-			fmt.Fprintf(w, "ratio %.2f; added delay p50 %.0f p99 %.0f p99.9 %.0f us at %.0f calls/s\n", res.Ratio, res.AddedUS[0], res.AddedUS[1], res.AddedUS[2], o.Rate)
+			fmt.Fprintf(w, "controller's calls out %.1f; ratio %.2f to the relay with as many calls under way, %.2f unbounded, %.2f bounded to the calls out\n",
+				res.Controller.Out, res.Ratio, res.RatioUnbounded, res.RatioBounded)
+			fmt.Fprintf(w, "added delay p50 %.0f p99 %.0f p99.9 %.0f us at %.0f calls/s\n", res.AddedUS[0], res.AddedUS[1], res.AddedUS[2], o.Rate)
 			return nil
 		},
 	}
