--- a/bench/open.go
+++ b/bench/open.go
@@ -28,6 +28,7 @@
 	Answer   time.Duration `json:"answer"` // the way there and back
 	Ring     time.Duration `json:"ring"`   // from ACM to ANM
 	Thin     serve.Thin    `json:"thin"`
+	Each     float64       `json:"each"`     // set-ups a second that each far processor can take; 0: any number
 	Circuits int           `json:"circuits"` // of each group; 0: all that a group can have
 	Aim      time.Duration `json:"aim"`
 	Patience time.Duration `json:"patience"`
@@ -40,7 +41,7 @@
 	Load    load.Totals    `json:"load"`
 	Share   float64        `json:"stood_share"` // of all offered
 	Settled float64        `json:"settled"`     // of those offered after the first five seconds
-	Bound   float64        `json:"bound"`       // share that the circuits leave (Erlang B)
+	Bound   float64        `json:"bound"`       // share that circuits (Erlang B) and processors leave
 	OpenIn  time.Duration  `json:"open_in"`     // first second from which on 95% of the bound stood; below zero: never
 	SetUpUS load.Quantiles `json:"set_up_us"`
 	CPU     float64        `json:"cores"` // that the controller used
@@ -84,6 +85,9 @@
 				Ring: ring * time.Second, Span: span + ring*time.Second})
 		}
 	}
+	for _, share := range []float64{0.8, 0.95, 1.2} {
+		out = append(out, OpenCase{Name: fmt.Sprintf("3 far of 200/s, %.0f%%", 100*share), Far: 3, Rate: 600 * share, Each: 200, Answer: 20 * time.Millisecond, Span: span})
+	}
 	out = append(out, OpenCase{Name: "76 far, rings 30 s, 400/s", Far: 76, Rate: 400, Answer: 20 * time.Millisecond, Ring: 30 * time.Second, Span: span + 30*time.Second})
 	return append(out, OpenCase{Name: "76 far, 792/s", Far: 76, Rate: 792, Answer: 20 * time.Millisecond, Span: span})
 }
@@ -122,7 +126,7 @@
 		pc, prefix := uint32(firstFar+i), fmt.Sprintf("82%02d", i+1)
 		own.Circuits[pc] = o.Circuits
 		sw.Switches = append(sw.Switches, serve.Switch{PointCode: pc, Listen: "127.0.0.1:0", Prefixes: []string{prefix},
-			Circuits: map[uint32]int{selfPC: o.Circuits}, Thin: o.Thin})
+			Circuits: map[uint32]int{selfPC: o.Circuits}, Thin: o.Thin, Rate: o.Each, FullAfter: 2 * time.Second, RejectWork: 0.1})
 		numbers = append(numbers, load.Numbers{Prefix: prefix, Length: 10, Share: 1})
 	}
 	sw.Switches = append(sw.Switches, own)
@@ -187,6 +191,9 @@
 	res.Share = float64(rep.Totals.Stood) / float64(max(1, rep.Totals.Offered))
 	erlang := o.Rate / float64(o.Far) * (o.Answer + o.Ring + openHold + o.Answer).Seconds()
 	res.Bound = 1 - ErlangB(erlang, o.Circuits)
+	if o.Each > 0 {
+		res.Bound = min(res.Bound, o.Each*float64(o.Far)/o.Rate)
+	}
 	offered, stood := 0, 0
 	res.OpenIn = -1
 	for i, s := range rep.Seconds {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -731,7 +731,8 @@
 	c.carried(k, ev.Exchange, ev.Delay)
 	x.out = slices.DeleteFunc(x.out, func(o *call) bool { return o == k })
 	k.rings = true
-	if rest := k.sentAt + x.wait - c.now; rest > 0 && k.slotted && c.now-x.loadAt <= reportKept {
+	rest := max(k.sentAt+x.wait-c.now, x.wait-x.distance) // the answer waits there too
+	if rest > c.slow/20 && k.slotted && c.now-x.loadAt <= reportKept {
 		c.do(SetTimer{ID: k.Call, After: rest})
 		return
 	}
--- a/cmd/umbergauge/bench.go
+++ b/cmd/umbergauge/bench.go
@@ -136,7 +136,7 @@
 					if res.OpenIn >= 0 {
 						opened = fmt.Sprintf("%2.0f s", res.OpenIn.Seconds())
 					}
-					fmt.Fprintf(w, "%-26s offered %6d: stood %.3f, after 5 s %.3f of %.3f that circuits leave; open within %s; set-up p50 %.1f p99 %.1f ms; %.2f cores\n",
+					fmt.Fprintf(w, "%-26s offered %6d: stood %.3f, after 5 s %.3f of %.3f that circuits and processors leave; open within %s; set-up p50 %.1f p99 %.1f ms; %.2f cores\n",
 						x.Name, res.Load.Offered, res.Share, res.Settled, res.Bound, opened, float64(res.SetUpUS.P50)/1000, float64(res.SetUpUS.P99)/1000, res.CPU)
 				}
 			}
