Clients with several associations: their calls outlive one, and all of them for T(r)

Need: a client's calls ended with its connection, whatever other connections it had.

Change: m3ua.AS decides without I/O which association takes a message, by traffic mode; calls stay on theirs until it is lost, what waits is bounded, what was queued and never handed over goes first on another. The core shares circuits, door and calls among a server's associations; NTFY tells who lost the traffic.

--- a/controller/calls.go
+++ b/controller/calls.go
@@ -18,6 +18,9 @@
 func (c *Core) fromClient(a *assoc, opc uint32, m *isup.Message) {
 	key := uint64(opc)<<16 | uint64(m.CIC)
 	l := a.legs[key]
+	if l != nil {
+		l.assoc = a // what follows goes the way that its client takes now
+	}
 	switch m.Type {
 	case isup.IAM:
 		if l != nil && l.call != nil { // its circuit is busy: a repeat, or a client that has lost count
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -41,6 +41,11 @@
 	T7           time.Duration // a set-up awaits ACM, ANM or CON so long at the most (Q.764, annex A); 0: 20 s
 	T9           time.Duration // ... and a number that rings ANM; 0: 90 s
 
+	// Recovery is T(r): calls of an application server outlive the loss of its last association so long, and
+	// RecoveryOctets bounds what is kept for it meanwhile.
+	Recovery       time.Duration
+	RecoveryOctets int
+
 	// Admit is the door in front of the module: limits of each client and of all, and of each tenant.
 	Admit  admit.Config
 	Tenant admit.Limits
@@ -118,12 +123,18 @@
 	// of that identifier: a client that comes again while its old connection is half open says so.
 	ASP      uint32
 	Override bool
+	// Server names the application server that the association is one of several of, with its traffic mode; empty: the
+	// association stands by itself, and its calls end with it.
+	Server string
+	Mode   uint32
 }
 
 // Port is where a controller's frames go. Its methods don't block.
 type Port interface {
 	// Send queues a frame, which is copied; false: the queue is full or the association is gone.
 	Send(a Assoc, frame []byte) bool
+	// Unsent takes the frames that were queued on an association which is lost, and never handed to its connection.
+	Unsent(a Assoc) []byte
 	// Close ends an association that is of no use any more; Down follows.
 	Close(a Assoc, why string)
 	// Ended tells of each call that has ended or been answered.
@@ -173,7 +184,7 @@
 type Counters struct {
 	Offered, Transit, Attempts, Established, Refused, Failed, Left, Finished, Cut uint64
 	TimedOut, NoContact, NotSent, LateAnswers, Malformed, Unexpected, QueueFull   uint64
-	Alerted, NoAnswer                                                             uint64
+	Alerted, NoAnswer, Pending                                                    uint64
 	KeptOut                                                                       uint64
 	HookAsked, HookLate, HookBusy, HookRefused                                    uint64
 }
@@ -249,6 +260,16 @@
 	far  *far
 	legs map[uint64]*leg // of a client
 	door *admit.Client
+	// server is the client that the association is one of several of, and shares legs and door with; nil: it has no other.
+	server *server
+}
+
+// server is a client with several associations.
+type server struct {
+	name  string
+	as    *m3ua.AS
+	first *assoc // whose legs, door and tenant are those of all
+	timer timer.Handle
 }
 
 // far is another exchange.
@@ -279,6 +300,7 @@
 	trunkTimer
 	legTimer
 	hookTimer
+	recoveryTimer
 )
 
 type alarm struct {
@@ -288,6 +310,7 @@
 	far  *far
 	wake trunk.Wake
 	leg  *leg
+	as   *server
 }
 
 type pair struct{ calling, called isup.Number }
@@ -314,6 +337,8 @@
 	byPC      map[uint32]*far
 	byAddr    map[string]*far
 	assocs    map[Assoc]*assoc
+	servers   map[string]*server
+	routed    []uint32
 	door      *admit.Door
 	tenants   *admit.Door
 	accounts  []*admit.Client // of tenants
@@ -372,7 +397,7 @@
 		def(&cfg.Classes[i].Ring, time.Minute)
 	}
 	c := &Core{cfg: cfg, port: port, module: module, now: now, wheel: timer.New[alarm](now, time.Millisecond),
-		calls: map[uint64]*call{}, byPC: map[uint32]*far{}, byAddr: map[string]*far{}, assocs: map[Assoc]*assoc{},
+		calls: map[uint64]*call{}, byPC: map[uint32]*far{}, byAddr: map[string]*far{}, assocs: map[Assoc]*assoc{}, servers: map[string]*server{},
 		cuts: map[pair]time.Duration{}}
 	c.door, c.tenants = admit.New(cfg.Admit), admit.New(admit.Config{Client: cfg.Tenant})
 	for range cfg.Tenants {
@@ -505,6 +530,10 @@
 			c.repeatRelease(a.leg)
 		case hookTimer:
 			c.hooksLate(a.id, a.seq)
+		case recoveryTimer:
+			if a.as.as.Expire(c.now) {
+				c.serverGone(a.as)
+			}
 		}
 	})
 }
@@ -604,6 +633,13 @@
 	a := &assoc{id: id, peer: p}
 	switch p.Kind {
 	case Client:
+		if p.Server != "" {
+			c.serverUp(a)
+			return
+		}
+		if c.assocs[id] != nil { // it is active already
+			return
+		}
 		a.legs, a.door = map[uint64]*leg{}, c.door.Join(now)
 		if p.Override && p.ASP != 0 {
 			c.supersede(now, p.ASP)
@@ -698,6 +734,10 @@
 	delete(c.assocs, id)
 	switch a.peer.Kind {
 	case Client: // its callers are gone with it
+		if a.server != nil {
+			c.serverDown(a)
+			return
+		}
 		defer c.door.Leave(a.door)
 		for _, l := range a.legs {
 			if l.call != nil {
@@ -778,6 +818,10 @@
 
 func (c *Core) toClient(l *leg, m *isup.Message) {
 	m.CIC = l.cic
+	if l.assoc.server != nil {
+		c.toServer(l, c.data(l.opc, m))
+		return
+	}
 	if !c.send(l.assoc.id, c.data(l.opc, m)) {
 		c.port.Close(l.assoc.id, "its queue is full")
 	}
@@ -802,6 +846,10 @@
 		}
 		switch a.peer.Kind {
 		case Client:
+			if a.server != nil && !a.server.as.Active(uint32(a.id)) { // RFC 4666, 4.3.4.3: another has its traffic
+				c.Counters.Unexpected++
+				return
+			}
 			c.fromClient(a, m.Data.OPC, &c.msg)
 		case FarSwitch:
 			if m.Data.OPC == a.far.PointCode && a.far.group != nil {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -34,6 +34,7 @@
 	mgmt   map[Assoc][]m3ua.Message
 	full   map[Assoc]bool
 	closed map[Assoc]string
+	unsent map[Assoc][]byte
 	ends   []Ending
 }
 
@@ -59,6 +60,7 @@
 }
 
 func (r *rig) Close(a Assoc, why string) { r.closed[a] = why }
+func (r *rig) Unsent(a Assoc) []byte     { b := r.unsent[a]; delete(r.unsent, a); return b }
 func (r *rig) Ended(e Ending)            { r.ends = append(r.ends, e) }
 func (r *rig) Listed(brain.Entry, bool)  {}
 
@@ -715,6 +717,7 @@
 	return true
 }
 func (n *nowhere) Close(Assoc, string) {}
+func (n *nowhere) Unsent(Assoc) []byte { return nil }
 func (n *nowhere) Ended(Ending)        {}
 
 func (n *nowhere) Listed(brain.Entry, bool) {}
--- a/daemon/connect.go
+++ b/daemon/connect.go
@@ -29,11 +29,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.peer.Name = fmt.Sprint(asp)
-	i := slices.IndexFunc(p.cfg.Clients, func(c config.Client) bool { return c.ASP == asp })
+	i := slices.IndexFunc(p.cfg.Clients, func(c config.Client) bool { return c.Has(asp) })
 	if i < 0 {
 		return len(p.cfg.Clients) == 0
 	}
-	l.peer.Name, l.peer.Tenant = p.cfg.Clients[i].Name, p.cfg.Tenant(p.cfg.Clients[i].Tenant)
+	x := &p.cfg.Clients[i]
+	l.peer.Name, l.peer.Tenant = x.Name, p.cfg.Tenant(x.Tenant)
+	if len(x.Associations) > 0 {
+		l.peer.Server, l.peer.Mode = x.Name, config.Modes[x.Mode]
+	}
 	return true
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,7 @@
 	events  chan event
 	links   map[controller.Assoc]*link // of the decision goroutine
 	touched []*link
+	lost    *link // that goes down now
 	nextID  atomic.Uint32
 	clients atomic.Int32 // connections of clients
 	wg      sync.WaitGroup
@@ -316,8 +317,10 @@
 	case evDown:
 		if d.links[l.id] == l {
 			delete(d.links, l.id)
+			d.lost = l // for what it has not sent
 			d.log.Warn().Stringer("peer", l).Str("why", l.reason()).Msg("association down")
 			d.guarded("down", nil, func() { d.core.Down(d.now(), l.id) })
+			d.lost = nil
 		}
 	case evUnreachable:
 		d.core.Unreachable(d.now(), ev.pc)
@@ -430,6 +433,23 @@
 	}
 }
 
+// Unsent ends the link too: its writer takes nothing more from what is queued.
+func (p port) Unsent(a controller.Assoc) []byte {
+	l := p.d.links[a]
+	if l == nil {
+		l = p.d.lost
+	}
+	if l == nil || l.id != a {
+		return nil
+	}
+	l.close("another association has its traffic")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.out
+	l.out = nil
+	return b
+}
+
 func (p port) Ended(e controller.Ending) {
 	p.d.metrics.ended(e)
 	if e.Set.Has(script.Final) {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -88,6 +88,7 @@
 		{"attempts_not_sent_total", "Attempts that never left.", c.NotSent},
 		{"alerted_total", "Attempts that passed ACM: the processor's part was over.", c.Alerted},
 		{"no_answer_total", "Numbers that rang until T9 or their caller's patience was over.", c.NoAnswer},
+		{"pending_total", "Times that a client with several associations lost the last one.", c.Pending},
 		{"late_answers_total", "Answers after the own time-out.", c.LateAnswers},
 		{"transit_calls_total", "Calls taken in transit.", c.Transit},
 		{"queue_full_total", "Frames that found the queue of their association full.", c.QueueFull},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,6 +101,21 @@
 	Name   string `yaml:"name"`
 	ASP    uint32 `yaml:"asp"`
 	Tenant string `yaml:"tenant"`
+	// Associations are the ASP identifiers of a client with several associations, in place of ASP, and Mode their traffic
+	// mode: override, loadshare or broadcast.
+	Associations []uint32 `yaml:"associations,omitempty"`
+	Mode         string   `yaml:"mode,omitempty"`
+}
+
+// Modes are the traffic modes by name (RFC 4666, 3.7.1).
+var Modes = map[string]uint32{"override": m3ua.TrafficOverride, "loadshare": m3ua.TrafficLoadshare, "broadcast": m3ua.TrafficBroadcast}
+
+// Has tells whether an ASP identifier is this client's.
+func (c *Client) Has(asp uint32) bool {
+	if len(c.Associations) > 0 {
+		return slices.Contains(c.Associations, asp)
+	}
+	return c.ASP == asp
 }
 
 // Exchange is one exchange of the network, the own one among them.
@@ -134,6 +149,10 @@
 	BackoffMin time.Duration `yaml:"backoff_min"`
 	BackoffMax time.Duration `yaml:"backoff_max"`
 	Queue      int           `yaml:"queue"` // octets
+	// Recovery is T(r): a client with several associations keeps its calls so long when the last one is lost; RecoveryQueue
+	// bounds what waits for it, in octets.
+	Recovery      time.Duration `yaml:"recovery,omitempty"`
+	RecoveryQueue int           `yaml:"recovery_queue,omitempty"`
 }
 
 // Limits bound what the daemon holds.
@@ -164,7 +183,7 @@
 		Cold:   Cold{15 * time.Second, 0.3, 2, 3 * time.Second},
 		Timers: Timers{15 * time.Second, 5 * time.Minute, 20 * time.Second, 90 * time.Second, 15 * time.Second, 10 * time.Second, 10 * time.Second},
 		Association: Association{2 * time.Second, 3, 5 * time.Second, 10 * time.Second, 2 * time.Second, 5 * time.Second,
-			100 * time.Millisecond, 5 * time.Second, 1 << 20},
+			100 * time.Millisecond, 5 * time.Second, 1 << 20, 2 * time.Second, 256 << 10},
 		Limits: Limits{Calls: 100_000, Clients: 1000, Events: 4096, Handshakes: 200},
 		Hooks:  Hooks{Deadline: 20 * time.Millisecond, Workers: 2, Queue: 1024},
 	}
@@ -373,6 +392,8 @@
 	v.span("association.write_limit", a.WriteLimit, 10*time.Millisecond, time.Minute)
 	v.span("association.backoff_min", a.BackoffMin, time.Millisecond, time.Minute)
 	v.span("association.backoff_max", a.BackoffMax, a.BackoffMin, time.Hour)
+	v.span("association.recovery", a.Recovery, 0, time.Minute)
+	v.Must(a.RecoveryQueue >= 0 && a.RecoveryQueue <= 64<<20, "association.recovery_queue", "%d octets; 0 to 64 MiB can be", a.RecoveryQueue)
 	v.Must(a.Queue >= m3ua.MaxFrame, "association.queue", "%d octets; it must hold a frame of %d", a.Queue, m3ua.MaxFrame)
 	v.Must(c.Limits.Calls >= 1 && c.Limits.Calls <= 1<<30, "limits.calls", "%d; 1 to 2^30 can be", c.Limits.Calls)
 	v.Must(c.Limits.Clients >= 1, "limits.clients", "%d; it must be 1 at the least", c.Limits.Clients)
@@ -421,9 +442,22 @@
 		tenants[t.Name] = true
 	}
 	asps := map[uint32]bool{}
+	names := map[string]bool{}
 	for i, x := range c.Clients {
-		v.Must(!asps[x.ASP], fmt.Sprintf("clients[%d].asp", i), "%d is given twice", x.ASP)
-		asps[x.ASP] = true
+		key, ids := fmt.Sprintf("clients[%d].asp", i), []uint32{x.ASP}
+		if len(x.Associations) > 0 {
+			v.Must(x.ASP == 0, key, "is given beside associations: one of the two names a client")
+			v.Must(Modes[x.Mode] != 0, fmt.Sprintf("clients[%d].mode", i), "%q; override, loadshare or broadcast can be", x.Mode)
+			v.Must(!names[x.Name] && x.Name != "", fmt.Sprintf("clients[%d].name", i), "%q is missing or given twice", x.Name)
+			names[x.Name] = true
+			key, ids = fmt.Sprintf("clients[%d].associations", i), x.Associations
+		} else {
+			v.Must(x.Mode == "", fmt.Sprintf("clients[%d].mode", i), "is of no use without associations")
+		}
+		for _, id := range ids {
+			v.Must(!asps[id], key, "%d is given twice", id)
+			asps[id] = true
+		}
 		v.Must(x.Tenant == "" || tenants[x.Tenant], fmt.Sprintf("clients[%d].tenant", i), "there is no tenant %q", x.Tenant)
 	}
 }
@@ -462,7 +496,7 @@
 func (c *Config) Controller() controller.Config {
 	out := controller.Config{
 		PointCode: c.Exchange, Network: c.Network, AnswerMargin: c.AnswerMargin, CutMemory: c.CutMemory, Hops: byte(c.Hops),
-		MaxCalls: c.Limits.Calls, ClientT1: c.Timers.T1, T7: c.Timers.T7, T9: c.Timers.T9,
+		MaxCalls: c.Limits.Calls, Recovery: c.Association.Recovery, RecoveryOctets: c.Association.RecoveryQueue, ClientT1: c.Timers.T1, T7: c.Timers.T7, T9: c.Timers.T9,
 		Trunk: trunk.Timers{T1: c.Timers.T1, T5: c.Timers.T5, T16: c.Timers.T16, T28: c.Timers.T28, Hold: c.Timers.Hold},
 		Brain: brain.Config{Seed: c.Seed, Controllers: len(c.Exchanges), OverQuotaWorth: c.OverQuotaWorth, MaxAttempts: c.MaxAttempts,
 			Guard: c.Guard, Repeat: c.Repeat, WarmUp: c.Cold.WarmUp, ColdShare: c.Cold.Share, FallMultiple: c.Cold.FallMultiple,
--- a/m3ua/asp.go
+++ b/m3ua/asp.go
@@ -180,6 +180,9 @@
 			a.send(&Message{Kind: NTFY, StatusType: StatusASState, StatusInfo: InfoASActive})
 			return Activated
 		}
+		if m.Traffic == TrafficOverride { // another may have taken its place: it asks to have its traffic again
+			return Activated
+		}
 	case ASPIA:
 		a.send(&Message{Kind: ASPIAAck})
 		if a.state == Active {
--- a/m3ua/m3ua.go
+++ b/m3ua/m3ua.go
@@ -96,6 +96,7 @@
 	InfoASInactive           = 2
 	InfoASActive             = 3
 	InfoASPending            = 4
+	InfoAlternateASP         = 2 // of StatusOther
 	TrafficOverride          = 1 // traffic mode types (RFC 4666, 3.7.1)
 	TrafficLoadshare         = 2
 	TrafficBroadcast         = 3
