Load of ringing numbers tested; the soak rings and has thin faults

Cause: a load made in the program, not read from a file, let numbers ring for no time at all. Found when the soak rang.

Change: the default stands where the load runs; a test of ringing load, its two times and what stood by second.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -20,6 +20,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/isup"
 	"github.com/umbergauge/umbergauge/load"
 	"github.com/umbergauge/umbergauge/m3ua"
 	"github.com/umbergauge/umbergauge/record"
@@ -95,7 +96,10 @@
 		prefix := fmt.Sprintf("82%02d", i)
 		s := standin.NewSwitch(sn, standin.SwitchConfig{PC: pc, Prefixes: []string{prefix}, Circuits: circuits, Seed: o.Seed + uint64(i),
 			Rate: 2 * o.Rate / float64(o.Exchanges-1), FollowWork: 0.3, RejectWork: 0.1, FullAfter: 2 * time.Second, HangUp: 0.3, Hold: 2 * time.Second,
-			ColdShare: 0.3, WarmUp: 15 * time.Second})
+			ColdShare: 0.3, WarmUp: 15 * time.Second,
+			Ringing: map[isup.Category]standin.Ringing{10: {Median: time.Second, Spread: 0.5, NoAnswer: 0.02, Busy: 0.01}}})
+		s.Thin(standin.ThinFull, 0.01)
+		s.Thin(standin.ThinSilent, 0.01)
 		switches = append(switches, s)
 		a, err := s.Start("127.0.0.1:0", false)
 		if err != nil {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -13,6 +13,7 @@
 	"github.com/umbergauge/umbergauge/daemon"
 	"github.com/umbergauge/umbergauge/internal/config"
 	"github.com/umbergauge/umbergauge/internal/memnet"
+	"github.com/umbergauge/umbergauge/isup"
 	"github.com/umbergauge/umbergauge/record"
 	"github.com/umbergauge/umbergauge/standin"
 )
@@ -109,62 +110,89 @@
 // seconds, and the calls due meanwhile count from when they were due.
 func TestLoad(t *testing.T) {
 	for _, stall := range []time.Duration{0, 2 * time.Second} {
-		synctest.Test(t, func(t *testing.T) {
-			n := &memnet.Net{}
-			w := &standin.Net{Dial: n.Dial, Listen: n.Listen, Log: record.New()}
-			c := config.Default()
-			c.Exchange, c.Listen = 1, "127.0.0.1:0"
-			c.Classes = []config.Class{{Name: "a", Aim: 1500 * time.Millisecond, Patience: 3 * time.Second, Worth: 1}}
-			var switches []*standin.Switch
-			for pc := uint32(1); pc <= 2; pc++ {
-				s := standin.NewSwitch(w, standin.SwitchConfig{PC: pc, Prefixes: []string{string(rune('0' + pc))}, Circuits: map[uint32]int{3 - pc: 400}, Rate: 1000})
-				addr, err := s.Start("127.0.0.1:0", false)
-				if err != nil {
-					t.Fatal(err)
-				}
-				switches = append(switches, s)
-				x := config.Exchange{PointCode: pc, Switch: []string{addr}, Prefixes: []string{string(rune('0' + pc))}}
-				if pc == 2 {
-					x.Circuits = 400
-				}
-				c.Exchanges = append(c.Exchanges, x)
-			}
-			d, err := daemon.New(daemon.Options{Config: &c, Log: zerolog.Nop(), Dial: n.Dial, Listen: n.Listen})
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan error, 1)
-			go func() { done <- d.Run(ctx) }()
-			for !d.Ready(ctx) {
-				time.Sleep(10 * time.Millisecond)
-			}
-			l := parse(t, "127.0.0.1:2905", d.Addr(), "rate: 50", "rate: 50\nclients: 5")
-			if stall > 0 {
-				time.AfterFunc(8*time.Second, func() { d.Stall(ctx, stall) })
-			}
-			rep, err := Run(ctx, l, Options{Dial: n.Dial})
+		rep := offer(t, stall, standin.Ringing{})
+		k := rep.Totals
+		if k.Offered < 1200 || k.Tries != k.Offered || k.Stood+k.Refused+k.GivenUp != k.Offered || k.Causes["1"] < 250 || k.Finished+k.Cut != k.Stood {
+			t.Errorf("%+v", k)
+		}
+		if stall == 0 && rep.SetUpUS.P99 > 50_000 {
+			t.Errorf("set-up %+v", rep.SetUpUS)
+		}
+		if stall > 0 && rep.SetUpUS.Max < 1_500_000 {
+			t.Errorf("the longest set-up is %d us after a stop of %v", rep.SetUpUS.Max, stall)
+		}
+		if rep.LateUS.Max > 2000 {
+			t.Errorf("its own lateness: %+v", rep.LateUS)
+		}
+	}
+}
+
+// Numbers that ring four seconds, one in ten unanswered: set-up counts to ACM, the answer with the ringing, and callers leave
+// when they have let it ring long enough.
+func TestLoadOfRingingNumbers(t *testing.T) {
+	rep := offer(t, 0, standin.Ringing{Median: 4 * time.Second, NoAnswer: 0.1})
+	k := rep.Totals
+	if k.Stood+k.Refused+k.GivenUp+k.RangOut != k.Offered || k.RangOut+k.Causes["19"] < 60 || k.Rang < k.Stood+k.RangOut {
+		t.Errorf("%+v", k)
+	}
+	if rep.SetUpUS.P99 > 50_000 || rep.AnswerUS.P50 < 4_000_000 || rep.AnswerUS.Max > 4_100_000 {
+		t.Errorf("set-up %+v, answer %+v", rep.SetUpUS, rep.AnswerUS)
+	}
+	offered, stood := 0, 0
+	for _, s := range rep.Seconds {
+		offered, stood = offered+int(s.Offered), stood+int(s.Stood)
+	}
+	if offered != int(k.Offered) || stood != int(k.Stood) {
+		t.Errorf("by second %d and %d, of %d and %d", offered, stood, k.Offered, k.Stood)
+	}
+}
+
+// offer runs the load against a controller and two switches in exact time.
+func offer(t *testing.T, stall time.Duration, ringing standin.Ringing) (rep Report) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &memnet.Net{}
+		w := &standin.Net{Dial: n.Dial, Listen: n.Listen, Log: record.New()}
+		c := config.Default()
+		c.Exchange, c.Listen = 1, "127.0.0.1:0"
+		c.Classes = []config.Class{{Name: "a", Aim: 1500 * time.Millisecond, Patience: 3 * time.Second, Worth: 1}}
+		var switches []*standin.Switch
+		for pc := uint32(1); pc <= 2; pc++ {
+			s := standin.NewSwitch(w, standin.SwitchConfig{PC: pc, Prefixes: []string{string(rune('0' + pc))}, Circuits: map[uint32]int{3 - pc: 2000}, Rate: 1000,
+				Ringing: map[isup.Category]standin.Ringing{10: ringing, 11: ringing}})
+			addr, err := s.Start("127.0.0.1:0", false)
 			if err != nil {
 				t.Fatal(err)
 			}
-			cancel()
-			<-done
-			for _, s := range switches {
-				s.Close()
-			}
-			k := rep.Totals
-			if k.Offered < 1200 || k.Tries != k.Offered || k.Stood+k.Refused+k.GivenUp != k.Offered || k.Causes["1"] < 250 || k.Finished+k.Cut != k.Stood {
-				t.Errorf("%+v", k)
-			}
-			if stall == 0 && rep.SetUpUS.P99 > 50_000 {
-				t.Errorf("set-up %+v", rep.SetUpUS)
-			}
-			if stall > 0 && rep.SetUpUS.Max < 1_500_000 {
-				t.Errorf("the longest set-up is %d us after a stop of %v", rep.SetUpUS.Max, stall)
-			}
-			if rep.LateUS.Max > 2000 {
-				t.Errorf("its own lateness: %+v", rep.LateUS)
+			switches = append(switches, s)
+			x := config.Exchange{PointCode: pc, Switch: []string{addr}, Prefixes: []string{string(rune('0' + pc))}}
+			if pc == 2 {
+				x.Circuits = 2000
 			}
-		})
-	}
+			c.Exchanges = append(c.Exchanges, x)
+		}
+		d, err := daemon.New(daemon.Options{Config: &c, Log: zerolog.Nop(), Dial: n.Dial, Listen: n.Listen})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- d.Run(ctx) }()
+		for !d.Ready(ctx) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		l := parse(t, "127.0.0.1:2905", d.Addr(), "rate: 50", "rate: 50\nclients: 5")
+		if stall > 0 {
+			time.AfterFunc(8*time.Second, func() { d.Stall(ctx, stall) })
+		}
+		rep, err = Run(ctx, l, Options{Dial: n.Dial})
+		if err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		<-done
+		for _, s := range switches {
+			s.Close()
+		}
+	})
+	return rep
 }
--- a/load/run.go
+++ b/load/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,6 +126,13 @@
 		var d net.Dialer
 		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 	}
+	own := *c
+	c, own.Classes = &own, slices.Clone(c.Classes)
+	for i := range own.Classes { // one that no file has been read for
+		if own.Classes[i].Ring == 0 {
+			own.Classes[i].Ring = time.Minute
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
