Heartbeats adapt to the time that their answers take

Need: one limit for all ways finds a dead peer on a quick one late.

Result: a dead peer on a quick way found within 3.5 to 8.5 s at the default settings (10 s before), answers after 4 s kept, a stop of 2 s outlived; the tests fail with one miss in place of three and with the floor in place of the measured time.

--- a/m3ua/asp.go
+++ b/m3ua/asp.go
@@ -19,10 +19,12 @@
 
 // Timers of an association. Zero values are replaced by the defaults in brackets.
 type Timers struct {
-	Ack       time.Duration // T(ack): a request without its acknowledgement is sent again (2 s; RFC 4666, 4.3.4.1)
-	Tries     int           // requests sent in vain before the association is given up (3)
-	Beat      time.Duration // between two heartbeats (5 s)
-	BeatLimit time.Duration // nothing at all heard for so long: the association is given up (2 times Beat)
+	Ack   time.Duration // T(ack): a request without its acknowledgement is sent again (2 s; RFC 4666, 4.3.4.1)
+	Tries int           // requests sent in vain before the association is given up (3)
+	Beat  time.Duration // between two heartbeats (5 s)
+	// BeatLimit: nothing at all heard for so long, the association is given up (2 times Beat). It is given up sooner when as
+	// many heartbeats as Tries have had no answer within the time that answers take, doubled from one to the next.
+	BeatLimit time.Duration
 }
 
 func (t Timers) withDefaults() Timers {
@@ -70,7 +72,35 @@
 	heard   time.Duration
 	beatAt  time.Duration
 	beats   uint64
-	msg     Message
+	probe   probe
+}
+
+// probe is a heartbeat that has no acknowledgement yet, and what is known of the time that they take (RFC 6298, section 2).
+type probe struct {
+	sent       [8]time.Duration // of the last ones, by number
+	due        time.Duration    // of the acknowledgement; 0: none is awaited
+	missed     int
+	smoothed   time.Duration // SRTT; 0: none was measured
+	variation  time.Duration // RTTVAR
+	retransmit time.Duration // RTO
+}
+
+// The bounds of RTO. A peer may stand still for a second and more (a collection of garbage, a moved machine): with three
+// heartbeats the floor gives it three and a half.
+const (
+	firstRTO = time.Second
+	leastRTO = 500 * time.Millisecond
+)
+
+// measured takes the time that an acknowledgement took.
+func (p *probe) measured(d time.Duration) {
+	if p.smoothed == 0 {
+		p.smoothed, p.variation = d, d/2
+	} else {
+		p.variation += ((p.smoothed - d).Abs() - p.variation) / 4
+		p.smoothed += (d - p.smoothed) / 8
+	}
+	p.retransmit = max(leastRTO, p.smoothed+4*p.variation)
 }
 
 // NewASP makes the asking end, opened at now. id is the ASP identifier, context the routing context.
@@ -117,12 +147,22 @@
 
 // Handle takes one decoded message.
 func (a *ASP) Handle(now time.Duration, m *Message) Outcome {
-	a.heard = now
+	a.Heard(now)
 	switch m.Kind {
 	case BEAT:
 		a.send(&Message{Kind: BEATAck, Heartbeat: m.Heartbeat})
 		return Nothing
-	case BEATAck, ERR:
+	case BEATAck:
+		if len(m.Heartbeat) == 8 { // its own number comes back, so that a repeated one is no riddle (Karn)
+			if n := binary.BigEndian.Uint64(m.Heartbeat); n > 0 && n <= a.beats && n+uint64(len(a.probe.sent)) > a.beats {
+				if sent := &a.probe.sent[n%uint64(len(a.probe.sent))]; *sent > 0 { // once for each
+					a.probe.measured(now - *sent)
+					*sent = 0
+				}
+			}
+		}
+		return Nothing
+	case ERR:
 		return Nothing
 	case DATA, DUNA, DAVA, DAUD, SCON, DUPU, DRST:
 		if a.state != Active { // RFC 4666, 4.3.4.3: no traffic from an ASP that is not active
@@ -209,6 +249,9 @@
 	if a.want != 0 {
 		next = min(next, a.due)
 	}
+	if a.probe.due != 0 {
+		next = min(next, a.probe.due)
+	}
 	return next
 }
 
@@ -227,14 +270,34 @@
 			a.request(ASPAC, now)
 		}
 	}
+	if p := &a.probe; p.due != 0 && now >= p.due {
+		if p.missed++; p.missed >= a.t.Tries {
+			return a.drop(Broken)
+		}
+		a.beat(now)
+	}
 	if now >= a.beatAt {
-		a.beats++
-		a.send(&Message{Kind: BEAT, Heartbeat: binary.BigEndian.AppendUint64(nil, a.beats)})
-		a.beatAt = now + a.t.Beat
+		a.beat(now)
 	}
 	return Nothing
 }
 
+// beat sends a heartbeat and awaits its acknowledgement.
+func (a *ASP) beat(now time.Duration) {
+	p := &a.probe
+	a.beats++
+	a.send(&Message{Kind: BEAT, Heartbeat: binary.BigEndian.AppendUint64(nil, a.beats)})
+	a.beatAt = now + a.t.Beat
+	p.sent[a.beats%uint64(len(p.sent))] = now
+	if p.retransmit == 0 {
+		p.retransmit = firstRTO
+	}
+	p.due = now + p.retransmit<<p.missed
+}
+
+// RoundTrip is the smoothed time that heartbeats take; 0: none was answered.
+func (a *ASP) RoundTrip() time.Duration { return a.probe.smoothed }
+
 // Close says that the association ends: ASPDN from the asking end.
 func (a *ASP) Close() {
 	if !a.server && a.state != Down {
@@ -244,4 +307,7 @@
 }
 
 // Heard notes that a message came that the owner deals with itself.
-func (a *ASP) Heard(now time.Duration) { a.heard = now }
+func (a *ASP) Heard(now time.Duration) {
+	a.heard = now
+	a.probe.due, a.probe.missed = 0, 0 // whatever it was, the peer is there
+}
