--- a/load/run.go
+++ b/load/run.go
@@ -43,6 +43,8 @@
 	LateUS   Quantiles     `json:"late_us"`   // from when it was due to when it was sent: this program's own lateness
 	Reached  float64       `json:"offered_per_second"`
 	Seconds  []Second      `json:"seconds"` // by when a call was first due
+	// Histograms are what the quantiles are of, for Merge.
+	Histograms *Histograms `json:"histograms,omitempty"`
 }
 
 // Second is what became of the calls that were first due in one second.
@@ -170,7 +172,8 @@
 	r.start = time.Now()
 	r.wheel = timer.New[func()](0, time.Millisecond)
 	r.loop(ctx)
-	rep := Report{Span: time.Since(r.start), Totals: r.t, SetUpUS: quantiles(r.setUp), AnswerUS: quantiles(r.answer), LateUS: quantiles(r.late), Reached: float64(r.t.Offered) / c.Span.Seconds(), Seconds: r.seconds}
+	rep := Report{Span: time.Since(r.start), Totals: r.t, SetUpUS: quantiles(r.setUp), AnswerUS: quantiles(r.answer), LateUS: quantiles(r.late), Reached: float64(r.t.Offered) / c.Span.Seconds(), Seconds: r.seconds,
+		Histograms: &Histograms{r.setUp.Export(), r.answer.Export(), r.late.Export()}}
 	return rep, ctx.Err()
 }
 
