The checker asks whose word it is that a number rings or is not answered

Cause: ringing gives a controller time, and an unanswered number leaves service: a controller could have said either itself.

Change: ACM to a caller without one from a switch breaks rule 1; only the far end's REL 18 or 19, or the caller's whole time, takes a caller out of service. Records that break this are found: ringing beyond its time, a second attempt while it rings, no guard after it rang.

--- a/check/check.go
+++ b/check/check.go
@@ -164,6 +164,7 @@
 	end        time.Duration
 	standing   bool
 	stoodAt    time.Duration
+	rang       bool       // its switch has said ACM
 	cause      isup.Cause // of the far end's REL
 }
 
@@ -412,6 +413,9 @@
 		} else if c.rangAt == 0 {
 			c.rangAt = f.At
 			j.report.Rang++
+			if !slices.ContainsFunc(j.attempts[attemptKey{c.ref, l.Controller}], func(a *attempt) bool { return a.rang }) {
+				j.broken(1, f.At, l.Controller, c.ref, "%v though no switch has said so: its caller waits for nothing", m.Type)
+			}
 		}
 	case isup.ANM, isup.CON:
 		if c.over || c.answer != none {
@@ -480,6 +484,10 @@
 		return
 	}
 	switch m.Type {
+	case isup.ACM, isup.CPG:
+		if !f.In && a != nil {
+			a.rang = true
+		}
 	case isup.ANM, isup.CON:
 		if !f.In && a != nil && a.state == out {
 			a.state, a.end, a.standing, a.stoodAt = answered, f.At, true, f.At
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -93,6 +93,31 @@
 		to(at+5*sec+ms, two, rel(cic, 16)).from(at+5*sec+40*ms, two, msg(isup.RLC, cic))
 }
 
+// rings is a call that rings at 2 from 50 ms on; its further course is the test's.
+func (s *script) rings(at time.Duration, call uint32, cic uint16) *script {
+	return s.from(at, client, iam(call, cic, "2001")).to(at+2*ms, two, iam(call, cic, "2001")).
+		from(at+50*ms, two, msg(isup.ACM, cic)).to(at+52*ms, client, msg(isup.ACM, cic))
+}
+
+// Callers whom nobody answered are in no service, but only on the word of the far end or of their own patience.
+func TestNobodyAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		s        *script
+		nobody   int
+		answered float64
+	}{
+		"the far end says so":       {newScript().rings(sec, 1, 1).from(5*sec, two, rel(1, 19)).to(5*sec+ms, client, rel(1, 19)), 1, 0},
+		"the controller says so":    {newScript().rings(sec, 1, 1).to(5*sec, two, rel(1, 19)).to(5*sec+ms, client, rel(1, 19)), 0, 0},
+		"it rang as long as it may": {newScript().rings(sec, 1, 1).to(12950*ms, two, rel(1, 19)).to(12951*ms, client, rel(1, 19)), 1, 0},
+		"it stands after 10 s":      {newScript().rings(sec, 1, 1).from(11*sec, two, msg(isup.ANM, 1)).to(11*sec+ms, client, msg(isup.ANM, 1)), 0, 1},
+	} {
+		r := c.s.judge()
+		if len(r.Broken) > 0 || r.NoAnswer != c.nobody || r.Whole.Earned != c.answered || r.Whole.Calls != 1-c.nobody || r.ToAnswer.Earned > 0.3 {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
+
 // refused is a call that is turned back by 2 and refused.
 func (s *script) refused(at time.Duration, call uint32, cic uint16) *script {
 	return s.from(at, client, iam(call, cic, "2001")).to(at+2*ms, two, iam(call, cic, "2001")).
@@ -172,6 +197,15 @@
 		{"sent after it stood", 1, newScript().clean(sec, 1, 1).to(2*sec, three, iam(1, 3, "2001"))},
 		{"sent after its caller left", 1, newScript().from(sec, client, iam(1, 1, "2001")).from(1100*ms, client, rel(1, 16)).
 			to(1101*ms, client, msg(isup.RLC, 1)).to(1200*ms, two, iam(1, 1, "2001"))},
+		{"rings beyond its caller's time", 1, newScript().rings(sec, 1, 1).from(13100*ms, client, rel(1, 16)).to(13101*ms, client, msg(isup.RLC, 1))},
+		{"rings and has no answer at all", 1, newScript().rings(sec, 1, 1)},
+		{"no answer told after its caller's time", 1, newScript().rings(sec, 1, 1).to(13200*ms, two, rel(1, 19)).to(13201*ms, client, rel(1, 19))},
+		{"rings though no switch says so", 1, newScript().from(sec, client, iam(1, 1, "2001")).to(sec+2*ms, two, iam(1, 1, "2001")).
+			to(sec+5*ms, client, msg(isup.ACM, 1)).from(5*sec, two, rel(1, 42)).to(5*sec+ms, client, rel(1, 42))},
+		{"another attempt while it rings", 2, newScript().rings(sec, 1, 1).to(5*sec, three, iam(1, 2, "2001")).
+			from(6*sec, two, msg(isup.ANM, 1)).to(6*sec+ms, client, msg(isup.ANM, 1))},
+		{"again within the guard after it rang", 5, newScript().rings(sec, 1, 1).to(1500*ms, two, rel(1, 102)).to(1600*ms, three, iam(1, 2, "2001")).
+			from(1700*ms, three, rel(2, 34)).to(1701*ms, client, rel(1, 34))},
 		{"in transit: answered twice", 1, newScript().from(sec, own, iam(1, 5, "3001")).to(sec+ms, own, rel(5, 34)).to(sec+9*ms, own, rel(5, 34))},
 		{"in transit: never answered", 1, newScript().from(sec, own, iam(1, 5, "3001"))},
 		{"two attempts to two switches", 2, newScript().from(sec, client, iam(1, 1, "2001")).to(sec+ms, two, iam(1, 1, "2001")).
