--- a/cmd/umbergauge/capture.go
+++ b/cmd/umbergauge/capture.go
@@ -3,16 +3,18 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/umbergauge/umbergauge/capture"
 	"github.com/umbergauge/umbergauge/isup"
+	"github.com/umbergauge/umbergauge/load"
 	"github.com/umbergauge/umbergauge/m3ua"
 )
 
 func captureCommand() *cobra.Command {
-	var number, call string
+	var number, call, clients string
 	c := &cobra.Command{
 		Use:   "capture FILE...",
 		Short: "Show what is in files of run --capture, a line a message",
@@ -22,10 +24,15 @@
 				a, b uint32
 				cic  uint16
 			}
+			var rec load.Recorder
+			var first time.Time
 			on := map[circuit]bool{} // circuits that carry a wanted call now
 			for _, f := range args {
 				err := capture.Read(f, func(x capture.Frame) error {
 					var m m3ua.Message
+					if first.IsZero() {
+						first = x.At
+					}
 					if err := m3ua.Decode(x.Data, &m); err != nil {
 						fmt.Fprintf(cmd.OutOrStdout(), "%s %v > %v %v\n", x.At.Format("15:04:05.000000"), x.From, x.To, err)
 						return nil
@@ -35,6 +42,11 @@
 					var u isup.Message
 					if m.Kind == m3ua.DATA && isup.Decode(m.Data.User, &u) == nil {
 						text = fmt.Sprintf("%d>%d circuit %d %v", m.Data.OPC, m.Data.DPC, u.CIC, u.Type)
+						if at := x.At.Sub(first) + 1; clients != "" && x.To.String() == clients {
+							rec.Message(at, x.From.String(), m.Data.OPC, &u)
+						} else if clients != "" && x.From.String() == clients {
+							rec.Message(at, x.To.String(), m.Data.DPC, &u)
+						}
 						k := circuit{min(m.Data.OPC, m.Data.DPC), max(m.Data.OPC, m.Data.DPC), u.CIC}
 						switch u.Type {
 						case isup.IAM:
@@ -46,7 +58,7 @@
 						}
 						wanted = wanted || on[k]
 					}
-					if wanted {
+					if wanted && clients == "" {
 						fmt.Fprintf(cmd.OutOrStdout(), "%s %v > %v %s\n", x.At.Format("15:04:05.000000"), x.From, x.To, text)
 					}
 					return nil
@@ -55,9 +67,13 @@
 					return short{err}
 				}
 			}
+			if clients != "" {
+				return rec.Write(cmd.OutOrStdout())
+			}
 			return nil
 		},
 	}
+	c.Flags().StringVar(&clients, "arrivals", "", "write the calls of clients of the controller that listens at this address, as CSV for load's process recorded")
 	c.Flags().StringVar(&number, "number", "", "only calls to numbers that begin so")
 	c.Flags().StringVar(&call, "call", "", "only the call of this reference, POINTCODE.ID")
 	return c
--- a/load/arrivals.go
+++ b/load/arrivals.go
@@ -23,11 +23,15 @@
 	Span       time.Duration `yaml:"span"`
 	Rate       float64       `yaml:"rate"` // calls a second, all clients together
 	Process    string        `yaml:"process"`
+	Record     string        `yaml:"record"` // CSV of a recorded process, beside the load's file
 	Burst      Burst         `yaml:"burst"`
 	Classes    []Class       `yaml:"classes"`
 	Numbers    []Numbers     `yaml:"numbers"`
 	Redials    int           `yaml:"redials"`
 	Redial     time.Duration `yaml:"redial_after"`
+
+	recorded    []Arrival
+	part, parts int // of the recorded calls every so manieth is this process's
 }
 
 // Burst multiplies the rate now and then.
@@ -66,7 +70,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(path, b)
+	c, err := Parse(path, b)
+	if err == nil && c.Record != "" {
+		err = c.openRecord(path)
+	}
+	return c, err
 }
 
 // Parse reads and checks a load; name stands in its errors.
@@ -82,7 +90,8 @@
 	v.Must(c.Clients >= 1 && c.Clients <= 4096, "clients", "%d; 1 to 4096 can be", c.Clients)
 	v.Must(c.Span > 0 && c.Span <= 24*time.Hour, "span", "%v; above 0 to 24h can be", c.Span)
 	v.Must(c.Rate > 0 && c.Rate <= 1e6, "rate", "%v; above 0 to a million can be", c.Rate)
-	v.Must(c.Process == "poisson" || c.Process == "uniform", "process", "%q; poisson or uniform can be", c.Process)
+	v.Must(c.Process == "poisson" || c.Process == "uniform" || c.Process == "recorded", "process", "%q; poisson, uniform or recorded can be", c.Process)
+	v.Must((c.Process == "recorded") == (c.Record != ""), "record", "a file and the process recorded belong together")
 	v.Must(c.Burst.Every == 0 || c.Burst.Every > 0 && c.Burst.For > 0 && c.Burst.For <= c.Burst.Every && c.Burst.Times > 0, "burst", "every, for and times belong together, and for is at most every")
 	v.Must(len(c.Classes) > 0 && len(c.Classes) < 100, "classes", "%d classes; 1 to 99 can be", len(c.Classes))
 	for i, x := range c.Classes {
@@ -96,7 +105,7 @@
 			c.Classes[i].Ring = time.Minute
 		}
 	}
-	v.Must(len(c.Numbers) > 0, "numbers", "is missing: what is dialled")
+	v.Must(len(c.Numbers) > 0 || c.Record != "", "numbers", "is missing: what is dialled")
 	for i, x := range c.Numbers {
 		key := fmt.Sprintf("numbers[%d]", i)
 		v.Must(x.Share > 0, key+".share", "%v; it must be above 0", x.Share)
@@ -122,6 +131,7 @@
 	at      time.Duration
 	classes []float64
 	numbers []float64
+	read    int // of the record
 }
 
 // NewArrivals makes the arrivals of a load.
@@ -152,6 +162,9 @@
 
 // Next is the next call; ok is false at the end of the span.
 func (a *Arrivals) Next() (next Arrival, ok bool) {
+	if a.c.Process == "recorded" {
+		return a.nextRecorded()
+	}
 	rate := a.c.Rate
 	if b := a.c.Burst; b.Every > 0 && a.at%b.Every < b.For {
 		rate *= b.Times
--- a/load/parts.go
+++ b/load/parts.go
@@ -23,6 +23,7 @@
 	p.PointCode += uint32(first)
 	p.Rate = c.Rate * float64(p.Clients) / float64(c.Clients)
 	p.Seed = c.Seed + uint64(i)<<32
+	p.part, p.parts = i, n
 	return &p, nil
 }
 
