--- a/bench/open.go
+++ b/bench/open.go
@@ -4,15 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"syscall"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/umbergauge/umbergauge/internal/config"
 	"github.com/umbergauge/umbergauge/load"
 	"github.com/umbergauge/umbergauge/standin"
@@ -103,8 +96,6 @@
 
 // Open runs one case: program is the binary that is run as the controller.
 func Open(ctx context.Context, program string, o OpenCase, progress io.Writer) (res OpenResult, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	if o.Circuits == 0 {
 		o.Circuits = circuits
 	}
@@ -142,35 +133,14 @@
 		}
 		c.Exchanges = append(c.Exchanges, x)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return res, err
-	}
-	c.Listen = l.Addr().String()
-	l.Close()
-	dir, err := os.MkdirTemp("", "umbergauge-open")
-	if err != nil {
+	if c.Listen, err = freeAddr(); err != nil {
 		return res, err
 	}
-	defer os.RemoveAll(dir)
-	file := filepath.Join(dir, "controller.yaml")
-	b, err := yaml.Marshal(&c)
+	cmd, stop, err := startController(ctx, program, &c, progress)
 	if err != nil {
 		return res, err
 	}
-	if err := os.WriteFile(file, b, 0o600); err != nil {
-		return res, err
-	}
-	cmd := exec.CommandContext(ctx, program, "run", "-c", file)
-	cmd.Stderr = progress
-	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGKILL) }
-	if err := cmd.Start(); err != nil {
-		return res, err
-	}
-	defer func() {
-		cancel()
-		cmd.Wait()
-	}()
+	defer stop()
 	select { // its associations and queries
 	case <-time.After(1500*time.Millisecond + time.Duration(o.Far)*20*time.Millisecond + 4*o.Answer):
 	case <-ctx.Done():
--- a/bench/soak.go
+++ b/bench/soak.go
@@ -8,17 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/umbergauge/umbergauge/internal/config"
 	"github.com/umbergauge/umbergauge/isup"
 	"github.com/umbergauge/umbergauge/load"
@@ -78,12 +72,9 @@
 	c.Classes = []config.Class{{Name: "a", Aim: 1500 * time.Millisecond, Patience: 3 * time.Second, Worth: 1}}
 	c.Timers.T1, c.Timers.T5, c.Timers.T16 = 4*time.Second, 20*time.Second, 4*time.Second
 	for _, to := range []*string{&c.Listen, &c.Metrics} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		if *to, err = freeAddr(); err != nil {
 			return res, err
 		}
-		*to = l.Addr().String()
-		l.Close()
 	}
 	circuits := map[uint32]int{}
 	for i := range o.Exchanges {
@@ -113,28 +104,11 @@
 		}
 		c.Exchanges = append(c.Exchanges, x)
 	}
-	dir, err := os.MkdirTemp("", "umbergauge-soak")
-	if err != nil {
-		return res, err
-	}
-	defer os.RemoveAll(dir)
-	file := filepath.Join(dir, "controller.yaml")
-	b, err := yaml.Marshal(&c)
+	cmd, stop, err := startController(ctx, o.Program, &c, nil)
 	if err != nil {
 		return res, err
 	}
-	if err := os.WriteFile(file, b, 0o600); err != nil {
-		return res, err
-	}
-	cmd := exec.CommandContext(ctx, o.Program, "run", "-c", file)
-	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGKILL) }
-	if err := cmd.Start(); err != nil {
-		return res, err
-	}
-	defer func() {
-		cancel()
-		cmd.Wait()
-	}()
+	defer stop()
 	time.Sleep(2 * time.Second)
 	l := load.Default()
 	l.Controller, l.Exchange, l.Clients, l.Rate, l.Span, l.Seed = c.Listen, selfPC, 4, o.Rate, o.Span, o.Seed
