--- a/cmd/umbergauge/bench.go
+++ b/cmd/umbergauge/bench.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,6 +17,14 @@
 
 func benchCommand() *cobra.Command {
 	c := &cobra.Command{Use: "bench", Short: "Measure the program on this machine, on loopback with plain responders"}
+	var stop context.CancelFunc
+	// A measurement that is ended takes the controller that it started with it.
+	c.PersistentPreRun = func(cmd *cobra.Command, _ []string) {
+		var ctx context.Context
+		ctx, stop = signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+		cmd.SetContext(ctx)
+	}
+	c.PersistentPostRun = func(*cobra.Command, []string) { stop() }
 	var o bench.Options
 	var asJSON bool
 	path := &cobra.Command{
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -19,6 +19,7 @@
 var (
 	days  = flag.Uint64("days", 0, "drawn days of each kind to play in TestDrawnDays, beyond those of CI")
 	first = flag.Uint64("first", 100, "their first seed")
+	pairs = flag.Uint64("pairs", 0, "days of each kind without ringing whose service TestServiceOfDays prints, from -first on")
 )
 
 // play plays a day in exact time, without sockets.
@@ -76,6 +77,24 @@
 	}
 }
 
+// Service of days without ringing, to be set beside that of another version of the program by kind and seed.
+func TestServiceOfDays(t *testing.T) {
+	for _, kind := range []string{"bad", "quiet", "trouble", "overload"} {
+		for seed := *first; seed < *first+*pairs; seed++ {
+			d := BadDay()
+			d.Seed = seed
+			if kind != "bad" {
+				var err error
+				if d, err = Draw(seed, kind); err != nil {
+					t.Fatal(err)
+				}
+			}
+			r := play(t, d.WithoutRinging()).Report
+			fmt.Printf("%s %d whole %.4f, to the answer %.4f, worst 10 s %.4f\n", kind, seed, r.Whole.Share, r.ToAnswer.Share, r.WorstWindow.Share)
+		}
+	}
+}
+
 // Drawn days that nobody tuned to: no rule breaks.
 func TestDrawnDays(t *testing.T) {
 	kinds := []string{"trouble", "overload"}
