--- a/cmd/umbergauge/run.go
+++ b/cmd/umbergauge/run.go
@@ -31,13 +31,17 @@
 }
 
 func runCommand() *cobra.Command {
-	var file, profile, captureDir string
+	var file, profile, captureDir, level string
 	var captureBytes, captureFiles int
+	var onPlatform bool
 	c := &cobra.Command{
-		Use:   "run -c FILE",
+		Use:   "run -c FILE | run --platform",
 		Short: "Run a call controller until SIGTERM, which drains it; SIGHUP reads the settings again",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if onPlatform {
+				return runPlatform(cmd.Context(), level, cmd.ErrOrStderr())
+			}
 			cfg, err := config.Load(file)
 			if err != nil {
 				return short{err}
@@ -122,7 +126,10 @@
 	c.Flags().IntVar(&captureBytes, "capture-bytes", 64<<20, "size of a capture file, about")
 	c.Flags().IntVar(&captureFiles, "capture-files", 8, "capture files kept; the oldest goes")
 	c.Flags().StringVar(&profile, "cpuprofile", "", "write a CPU profile to this file")
-	c.MarkFlagRequired("config")
+	c.Flags().BoolVar(&onPlatform, "platform", false, "run on the users' platform, with the settings that GW_CONFIG names")
+	c.Flags().StringVar(&level, "log-level", "info", "with --platform: least level that is logged; trace shows every message")
+	c.MarkFlagsOneRequired("config", "platform")
+	c.MarkFlagsMutuallyExclusive("config", "platform")
 	return c
 }
 
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -206,70 +206,27 @@
 		a.fail("value %d of %s is not a load report", i, clip(a.name))
 		return nil
 	}
-	r := unknownReport
-	for _, f := range in.fields {
-		if x := v.Get(f.name); x != nil {
-			if n, err := x.Float64(); err == nil && n >= 0 && n < 1e15 {
-				f.set(&r, n)
-			}
+	r := reportOf(in.fields, func(name string) (float64, bool) {
+		x := v.Get(name)
+		if x == nil {
+			return 0, false
 		}
-	}
+		n, err := x.Float64()
+		return n, err == nil
+	})
 	return &r
 }
 
-// config translates the settings. Keys that are missing or null have the value zero unless stated here.
+// config translates the settings of Hello.
 func (a *args) config(i int) (brain.Config, []field) {
 	v := a.value(i)
-	if v == nil || v.Type() != fastjson.TypeObject {
+	if v == nil {
 		a.fail("Hello has no settings")
 		return brain.Config{}, nil
 	}
-	num := func(v *fastjson.Value, missing float64, path ...string) float64 {
-		x := v.Get(path...)
-		if x == nil || x.Type() == fastjson.TypeNull {
-			return missing
-		}
-		f, err := x.Float64()
-		if err != nil || math.IsNaN(f) || math.Abs(f) > 1e15 {
-			a.fail("settings: %s is not a fit number", path[len(path)-1])
-		}
-		return f
-	}
-	cfg := brain.Config{
-		Self:           int(num(v, -1, "family_info", "self_no")),
-		Controllers:    int(num(v, 1, "replicas_of_me")),
-		Pools:          string(v.GetStringBytes("family_info", "shape")) == "pools",
-		AskForList:     string(v.GetStringBytes("discovery")) == "ask",
-		OverQuotaWorth: num(v, 1, "over_share_worth"),
-		MaxAttempts:    int(num(v, 1, "limits", "max_attempts")),
-		Guard:          millis(num(v, 0, "family_info", "guard")),
-		Repeat:         millis(num(v, 0, "family_info", "repeat")),
-		MarksRedials:   v.GetBool("callers", "marks_retry"),
-		WarmUp:         millis(num(v, 0, "obligations", "warm_up")),
-		ColdShare:      num(v, 1, "obligations", "cold_share"),
-		FallMultiple:   num(v, 1, "obligations", "fall_multiple"),
-		FallSpan:       millis(num(v, 0, "obligations", "overload_for")),
-	}
-	for n, c := range v.GetArray("request_classes") {
-		class := brain.Class{
-			Aim: millis(num(c, 0, "aim")), Worth: num(c, 1, "credit"), LateWorth: num(c, 0, "late_worth"),
-			Circuits: num(v, 1, "family_info", "class_width", fmt.Sprint(n)),
-		}
-		class.Repeatable = string(c.GetStringBytes("idempotency")) == "read_like"
-		for _, p := range v.GetArray("family_info", "pools_by_class", fmt.Sprint(n)) {
-			class.Pools = append(class.Pools, p.GetInt())
-		}
-		cfg.Classes = append(cfg.Classes, class)
-	}
-	for _, t := range v.GetArray("accounts") {
-		cfg.Tenants = append(cfg.Tenants, brain.Tenant{Quota: num(t, 0, "quota_per_s")})
-	}
-	var fields []field
-	for _, f := range v.GetArray("feedback", "fields") {
-		name := string(f.GetStringBytes())
-		if set, ok := reportFields[name]; ok {
-			fields = append(fields, field{name, set})
-		}
+	s, err := Decode(v)
+	if err != nil {
+		a.fail("%w", err)
 	}
-	return cfg, fields
+	return s.Brain, s.fields
 }
