--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -18,6 +18,7 @@
 	Classes []string     // names, in the order of Brain.Classes
 	Zones   []string
 
+	Longest        time.Duration // longest time for which callers of a class wait
 	ConnectTimeout time.Duration // a connection that is not up by then has failed
 	Keepalive      time.Duration // idle connections are closed after this; 0: not told
 	RetryAfter     bool          // callers may be told how long to stay away ...
@@ -77,6 +78,7 @@
 		}
 		s.Brain.Classes = append(s.Brain.Classes, class)
 		s.Classes = append(s.Classes, string(c.GetStringBytes("name")))
+		s.Longest = max(s.Longest, millis(num(c, 0, "give_up")))
 	}
 	for _, t := range v.GetArray("accounts") {
 		s.Brain.Tenants = append(s.Brain.Tenants, brain.Tenant{Quota: num(t, 0, "quota_per_s")})
