--- a/brain/api.go
+++ b/brain/api.go
@@ -185,8 +185,11 @@
 		Exchange string
 		TimeOut  time.Duration
 	}
-	// Refuse is the final answer that a call is rejected.
-	Refuse struct{ Call uint64 }
+	// Refuse is the final answer that a call is rejected. Its caller is asked to stay away for Wait; 0: not asked.
+	Refuse struct {
+		Call uint64
+		Wait time.Duration
+	}
 	// Fail is the final answer that a call is given up.
 	Fail struct{ Call uint64 }
 	// SetTimer asks for a Timer event.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -692,7 +692,7 @@
 		if k.mayRun {
 			c.do(Fail{Call: k.Call})
 		} else {
-			c.do(Refuse{Call: k.Call})
+			c.do(Refuse{Call: k.Call, Wait: c.stayAway(c.exchanges[k.Destination])})
 		}
 		if !k.Transit {
 			n := c.number(k.Number)
@@ -706,6 +706,15 @@
 	}
 }
 
+// stayAway is how long the caller of a refused call is asked to stay away: till the processor of x has
+// rested. Of other states no end is known; callers kept away longer than they wish stand later or never.
+func (c *Controller) stayAway(x *exchange) time.Duration {
+	if x == nil {
+		return 0
+	}
+	return max(0, x.fullUntil-c.now)
+}
+
 // quick tells whether x answers and its load reads more Low than Medium.
 func (c *Controller) quick(x *exchange) bool { return !x.silent && x.seen <= (setLow+setMid)/2 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -992,3 +992,25 @@
 		t.Errorf("%d set-ups at once to an exchange back cold, %v at most", sent, budget)
 	}
 }
+
+// A caller refused while a processor rests is told till when; one refused for want of a circuit is not kept away.
+func TestRefusedCallersAreToldWhenToComeBack(t *testing.T) {
+	r := newRig(t, config(), 9)
+	r.call(1)
+	r.do(Returned{Call: r.id, Exchange: "a:1", Cause: NotSetUp, Reason: ProcessorFull, Wait: 3 * time.Second})
+	r.now += 500 * ms
+	var told []time.Duration
+	refused := func(acts []Action) {
+		for _, a := range acts {
+			if f, ok := a.(Refuse); ok {
+				told = append(told, f.Wait)
+			}
+		}
+	}
+	refused(r.call(1, func(o *Offered) { o.Transit = true }))
+	r.group(2, 0)
+	refused(r.call(2, func(o *Offered) { o.Transit = true }))
+	if len(told) != 2 || told[0] != 2500*ms || told[1] != 0 {
+		t.Fatalf("told to stay away %v", told)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -291,7 +291,7 @@
 	case brain.Refuse:
 		open("Bounce")
 		number(act.Call)
-		ms(0)
+		ms(act.Wait)
 	case brain.Fail:
 		open("Lose")
 		number(act.Call)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -22,12 +22,14 @@
 	start := batch(hello, pool, `["Targets",3,"C",0,0]`, `["Echo",3,0,"10.0.0.2:2",0,{"free":5,"size":9}]`, demand)
 	set := `["Send",3,1564119492,1500,"10.0.0.2:2"]`
 	for name, tc := range map[string]struct{ in, out, err string }{
-		"nothing":      {"", "", ""},
-		"empty batch":  {batch(), `["Ack",1]`, ""},
-		"a call":       {start, set, ""},
-		"after death":  {start + batch(`["PowerOff",3]`, hello), `["Ack",1]`, ""},
-		"standing":     {start + batch(`["Established",3,1564119492,9.5,"10.0.0.2:2",0]`), set, ""},
-		"ended":        {start + batch(`["Returned",3,1564119492,true,9.5,0,null,0,"10.0.0.2:2",null]`), set, ""},
+		"nothing":     {"", "", ""},
+		"empty batch": {batch(), `["Ack",1]`, ""},
+		"a call":      {start, set, ""},
+		"after death": {start + batch(`["PowerOff",3]`, hello), `["Ack",1]`, ""},
+		"standing":    {start + batch(`["Established",3,1564119492,9.5,"10.0.0.2:2",0]`), set, ""},
+		"ended":       {start + batch(`["Returned",3,1564119492,true,9.5,0,null,0,"10.0.0.2:2",null]`), set, ""},
+		"stay away": {start + batch(`["Returned",3,1564119492,false,9.5,0,16003,8,"10.0.0.2:2",null]`),
+			`["Bounce",3,1564119492,1000]`, ""},
 		"mail":         {start + batch(`["Mail",3,1,"hi"]`), set, ""},
 		"not JSON":     {"[\"Clock\",1", "", "line 1: not JSON"},
 		"no message":   {"{}\n", "", "not a message"},
