--- a/daemon/control.go
+++ b/daemon/control.go
@@ -171,7 +171,7 @@
 		case "associations":
 			for _, l := range d.links {
 				l.mu.Lock()
-				links = append(links, fmt.Sprintf("%-40s %-9v queued %d, malformed %d, round trip %v", l, l.asp.State(), len(l.out), l.bad, l.asp.RoundTrip().Round(10*time.Microsecond)))
+				links = append(links, fmt.Sprintf("%-40s %-9v queued %d, malformed %d, round trip %v", l, l.asp.State(), l.box.Queued(), l.bad, l.asp.RoundTrip().Round(10*time.Microsecond)))
 				l.mu.Unlock()
 			}
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/hooks"
 	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/internal/owned"
 	"github.com/umbergauge/umbergauge/m3ua"
 	"github.com/umbergauge/umbergauge/script"
 )
@@ -50,7 +50,7 @@
 	lost    *link // that goes down now
 	nextID  atomic.Uint32
 	clients atomic.Int32 // connections of clients
-	wg      sync.WaitGroup
+	group   owned.Group
 	metrics *metrics
 	hooks   *hookRunner
 	capture func(at time.Time, from, to net.Addr, frame []byte)
@@ -104,6 +104,10 @@
 	if d.listen == nil {
 		d.listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
+	d.group.Panic = func(where string, r any, stack []byte) {
+		d.metrics.panics.Inc()
+		d.log.Error().Str("where", where).Interface("panic", r).Bytes("stack", stack).Msg("panic caught")
+	}
 	d.odd = &oddLog{log: o.Log, cfg: o.Config, limit: rate.NewLimiter(20, 50)}
 	d.metrics = newMetrics(d)
 	d.hooks = newHookRunner(d)
@@ -170,7 +174,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	d.running = ctx
-	defer d.wg.Wait()
+	defer d.group.Wait()
 	defer cancel()
 	defer d.closeListeners()
 	d.log.Info().Uint32("exchange", d.cfg.Exchange).Str("listen", d.Addr()).Msg("started")
@@ -194,25 +198,8 @@
 	return err
 }
 
-// own starts a goroutine that Run waits for. A panic in it ends what it serves and not the daemon.
-func (d *Daemon) own(f func()) {
-	d.wg.Add(1)
-	go func() {
-		defer d.wg.Done()
-		defer func() { d.caught("goroutine", recover()) }()
-		f()
-	}()
-}
-
-// caught notes a recovered panic; false: there was none.
-func (d *Daemon) caught(where string, r any) bool {
-	if r == nil {
-		return false
-	}
-	d.metrics.panics.Inc()
-	d.log.Error().Str("where", where).Interface("panic", r).Bytes("stack", debug.Stack()).Msg("panic caught")
-	return true
-}
+// own starts a goroutine that Run waits for.
+func (d *Daemon) own(f func()) { d.group.Go(f) }
 
 // maxBatch bounds the events handled before timers run and writers are woken.
 const maxBatch = 256
@@ -289,22 +276,16 @@
 func (d *Daemon) wakeWriters() {
 	for _, l := range d.touched {
 		l.touched = false
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		l.box.Nudge()
 	}
 	d.touched = d.touched[:0]
 }
 
 // guarded runs f of the decision goroutine; a panic costs the link it came by, if any, and not the daemon.
 func (d *Daemon) guarded(where string, l *link, f func()) {
-	defer func() {
-		if d.caught(where, recover()) && l != nil {
-			l.close("panic")
-		}
-	}()
-	f()
+	if !d.group.Guard(where, f) && l != nil {
+		l.close("panic")
+	}
 }
 
 func (d *Daemon) handle(ctx context.Context, ev event) {
@@ -318,7 +299,7 @@
 		if d.links[l.id] == l {
 			delete(d.links, l.id)
 			d.lost = l // for what it has not sent
-			d.log.Warn().Stringer("peer", l).Str("why", l.reason()).Msg("association down")
+			d.log.Warn().Stringer("peer", l).Str("why", l.box.Reason()).Msg("association down")
 			d.guarded("down", nil, func() { d.core.Down(d.now(), l.id) })
 			d.lost = nil
 		}
@@ -417,7 +398,7 @@
 
 func (p port) Send(a controller.Assoc, frame []byte) bool {
 	l := p.d.links[a]
-	if l == nil || !l.send(frame) {
+	if l == nil || !l.box.Put(frame) {
 		return false
 	}
 	if !l.touched {
@@ -443,11 +424,7 @@
 		return nil
 	}
 	l.close("another association has its traffic")
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.out
-	l.out = nil
-	return b
+	return l.box.Unsent()
 }
 
 func (p port) Ended(e controller.Ending) {
--- a/daemon/hooks.go
+++ b/daemon/hooks.go
@@ -65,7 +65,7 @@
 }
 
 func (h *hookRunner) one(ctx context.Context, r *hooks.Runner, j hookJob) {
-	defer func() { h.d.caught("hook", recover()) }()
+	defer func() { h.d.group.Caught("hook", recover()) }()
 	now := h.d.now()
 	switch {
 	case j.final != nil:
--- a/daemon/link.go
+++ b/daemon/link.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/umbergauge/umbergauge/controller"
+	"github.com/umbergauge/umbergauge/internal/outbox"
 	"github.com/umbergauge/umbergauge/m3ua"
 )
 
@@ -18,17 +20,13 @@
 	id      controller.Assoc
 	peer    controller.Peer
 	conn    net.Conn
-	wake    chan struct{}
+	box     *outbox.Box   // frames on their way
 	flushed chan struct{} // closed when the writer has ended
 	touched bool          // of the decision goroutine
 
-	mu     sync.Mutex
-	asp    *m3ua.ASP
-	out    []byte // frames queued, at most cfg.Association.Queue octets
-	ending bool   // nothing more is queued; the writer ends when out is empty
-	closed bool
-	why    string
-	bad    int // malformed frames
+	mu  sync.Mutex
+	asp *m3ua.ASP
+	bad int // malformed frames
 }
 
 // batches are buffers of whole frames on their way to the decision goroutine.
@@ -42,7 +40,7 @@
 
 func (d *Daemon) newLink(conn net.Conn, p controller.Peer, asp *m3ua.ASP) *link {
 	return &link{d: d, id: controller.Assoc(d.nextID.Add(1)), peer: p, conn: conn, asp: asp,
-		wake: make(chan struct{}, 1), flushed: make(chan struct{})}
+		box: outbox.New(d.cfg.Association.Queue), flushed: make(chan struct{})}
 }
 
 func (l *link) String() string {
@@ -55,47 +53,18 @@
 	return fmt.Sprintf("client %s", l.peer.Name)
 }
 
-// send queues a frame; false: the queue is full or the link is ending.
-func (l *link) send(frame []byte) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed || l.ending || len(l.out)+len(frame) > l.d.cfg.Association.Queue {
-		return false
-	}
-	l.out = append(l.out, frame...)
-	return true
-}
-
 // close ends the link at once; the first reason stays.
 func (l *link) close(why string) {
-	l.mu.Lock()
-	if !l.closed {
-		l.closed, l.why = true, why
-	}
-	l.mu.Unlock()
+	l.box.Close(why)
 	l.conn.Close()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
 }
 
 // finish lets the writer send what is queued and ASPDN, and end.
 func (l *link) finish() {
-	l.mu.Lock()
-	l.asp.Close()
-	l.ending = true
-	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (l *link) reason() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.why
+	l.asp.Close()
+	l.box.Finish("")
 }
 
 // maxBad is how many malformed frames a peer may send on one connection.
@@ -120,10 +89,7 @@
 		l.close("too many malformed frames")
 		return
 	}
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.box.Nudge()
 }
 
 // run serves the link until it ends; it is called in the goroutine that owns the connection.
@@ -133,17 +99,14 @@
 	l.d.own(l.write)
 	func() {
 		defer func() {
-			if l.d.caught("reader", recover()) {
+			if l.d.group.Caught("reader", recover()) {
 				l.close("panic")
 			}
 		}()
 		l.read(ctx)
 	}()
 	l.conn.Close()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.box.Nudge()
 	<-l.flushed
 	// The loss must not get lost: the queue is waited for as long as there is one who takes from it.
 	select {
@@ -192,10 +155,7 @@
 			id, override := l.asp.ID(), l.asp.Override()
 			l.mu.Unlock()
 			if asked {
-				select {
-				case l.wake <- struct{}{}:
-				default:
-				}
+				l.box.Nudge()
 			}
 			switch outcome {
 			case m3ua.Deliver:
@@ -247,7 +207,7 @@
 func (l *link) write() {
 	defer close(l.flushed)
 	defer func() {
-		if l.d.caught("writer", recover()) {
+		if l.d.group.Caught("writer", recover()) {
 			l.close("panic")
 		}
 	}()
@@ -256,24 +216,25 @@
 	var buf []byte
 	for {
 		now := l.d.now()
-		l.mu.Lock()
-		if l.closed {
+		var ending, closed bool
+		l.mu.Lock() // over both, so that no goodbye is taken before what was queued ahead of it
+		if buf, ending, closed = l.box.Take(buf[:0]); closed {
 			l.mu.Unlock()
 			return
 		}
 		broken := false
-		if !l.ending && now >= l.asp.Next() {
+		if !ending && now >= l.asp.Next() {
 			broken = l.asp.Tick(now) == m3ua.Broken
 		}
-		buf = append(buf[:0], l.asp.Out...)
-		l.asp.Out = l.asp.Out[:0]
-		if l.ending { // what is queued goes before the goodbye
-			buf = append(append([]byte(nil), l.out...), buf...)
-			l.out = l.out[:0]
-		} else {
-			buf, l.out = append(buf, l.out...), l.out[:0]
+		switch {
+		case len(l.asp.Out) == 0:
+		case ending: // what is queued goes before the goodbye
+			buf = append(buf, l.asp.Out...)
+		default:
+			buf = slices.Insert(buf, 0, l.asp.Out...)
 		}
-		next, ending := l.asp.Next(), l.ending
+		l.asp.Out = l.asp.Out[:0]
+		next := l.asp.Next()
 		l.mu.Unlock()
 		if len(buf) > 0 {
 			l.captured(buf)
@@ -286,9 +247,9 @@
 				buf = nil
 			}
 			l.mu.Lock()
-			more := len(l.out) > 0 || len(l.asp.Out) > 0
+			more := len(l.asp.Out) > 0
 			l.mu.Unlock()
-			if more {
+			if more || l.box.Queued() > 0 {
 				continue
 			}
 		}
@@ -301,7 +262,7 @@
 		}
 		timer.Reset(max(0, next-l.d.now()))
 		select {
-		case <-l.wake:
+		case <-l.box.Wake():
 		case <-timer.C:
 		}
 	}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -49,14 +50,14 @@
 	l := n.listeners[addr]
 	n.mu.Unlock()
 	if l == nil {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	a, b := Pipe(64 * 1024)
 	select {
 	case l.conns <- b:
 		return a, nil
 	case <-l.done:
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- /dev/null
+++ b/internal/owned/owned.go
@@ -0,0 +1,43 @@
+// Package owned starts goroutines that have an owner: one that waits for their end and hears of their panics.
+package owned
+
+import (
+	"runtime/debug"
+	"sync"
+)
+
+// Group is the goroutines of one owner. A panic ends what its goroutine serves and not the program.
+type Group struct {
+	Panic func(where string, r any, stack []byte) // is told of each panic
+
+	wg sync.WaitGroup
+}
+
+// Go starts a goroutine that Wait waits for.
+func (g *Group) Go(f func()) {
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		defer func() { g.Caught("goroutine", recover()) }()
+		f()
+	}()
+}
+
+// Wait waits until all have ended.
+func (g *Group) Wait() { g.wg.Wait() }
+
+// Caught tells Panic of a recovered value; false: there was no panic.
+func (g *Group) Caught(where string, r any) bool {
+	if r == nil {
+		return false
+	}
+	g.Panic(where, r, debug.Stack())
+	return true
+}
+
+// Guard runs f; false: it has panicked.
+func (g *Group) Guard(where string, f func()) (whole bool) {
+	defer func() { whole = !g.Caught(where, recover()) }()
+	f()
+	return true
+}
