The own lateness is read beyond the least that answers ever take

Examined: the beliefs it logs beside the trace. Far ends: not silent, load 0.08 and 0.14, windows open, circuits free, out = sent on the sockets. Own window 1.3, own load 0.39, while answers took 54 ms (median). Excluded: circuits, far windows, the far ends' health, bad callers (their set-ups hardly reach the module). Wrong: step() took the least answer time of a step for the wait at the own processor, the way to the far ends included. Aims on the platform are a quarter, ways are not: the way alone read Medium, and the window, once cut, hardly grew.

The least that answers ever take is a distance, as it is with far ends (one function, beyond, for both). A test that fails without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -207,8 +207,7 @@
 		c.aim, c.least = min(c.aim, cl.Aim), min(c.least, cl.Worth)
 	}
 	for i, t := range cfg.Tenants {
-		c.credit[i] = quotaBurst
-		c.quotas += t.Quota
+		c.credit[i], c.quotas = quotaBurst, c.quotas+t.Quota
 	}
 	c.slow = time.Duration(slowShare * float64(c.aim))
 	if cfg.Repeat > 0 { // set-ups that wait longer are sent again, and each repeat is work
@@ -386,8 +385,7 @@
 		k.aimEnd = n.aimEnd
 	}
 	k.late = c.now+c.answerTime >= k.aimEnd
-	k.low = k.late
-	if k.late {
+	if k.low = k.late; k.late {
 		k.worth *= cl.LateWorth
 	}
 	if !ev.Transit && k.aimEnd == k.arrived+cl.Aim && c.overQuota(ev.Tenant) {
@@ -692,7 +690,12 @@
 		if k.mayRun {
 			c.do(Fail{Call: k.Call})
 		} else {
-			c.do(Refuse{Call: k.Call, Wait: c.stayAway(c.exchanges[k.Destination])})
+			// Till the processor has rested the caller is to stay away; of other states no end is known.
+			var wait time.Duration
+			if x := c.exchanges[k.Destination]; x != nil {
+				wait = max(0, x.fullUntil-c.now)
+			}
+			c.do(Refuse{Call: k.Call, Wait: wait})
 		}
 		if !k.Transit {
 			n := c.number(k.Number)
@@ -706,15 +709,6 @@
 	}
 }
 
-// stayAway is how long the caller of a refused call is asked to stay away: till the processor of x has
-// rested. Of other states no end is known; callers kept away longer than they wish stand later or never.
-func (c *Controller) stayAway(x *exchange) time.Duration {
-	if x == nil {
-		return 0
-	}
-	return max(0, x.fullUntil-c.now)
-}
-
 // quick tells whether x answers and its load reads more Low than Medium.
 func (c *Controller) quick(x *exchange) bool { return !x.silent && x.seen <= (setLow+setMid)/2 }
 
@@ -749,6 +743,14 @@
 	c.serve(nil)
 }
 
+// beyond is how much of d is beyond the least that answers of x take: that is its distance, and no load.
+func (c *Controller) beyond(x *exchange, d time.Duration) time.Duration {
+	if x.distance == 0 || d < x.distance {
+		x.distance = max(0, min(d, c.slow/2))
+	}
+	return d - x.distance
+}
+
 // carried notes what the end of the processor's part after d tells of the exchange that an attempt went to.
 func (c *Controller) carried(k *call, at string, took time.Duration) {
 	x, d := k.to, took
@@ -761,10 +763,7 @@
 	}
 	if same && x.code == k.Destination && k.sentAt >= c.resumed {
 		if d -= c.ownWait; c.told() { // else what answers have in common is taken for the own wait
-			if x.distance == 0 || d < x.distance {
-				x.distance = max(0, min(d, c.slow/2))
-			}
-			d -= x.distance
+			d = c.beyond(x, d)
 		}
 		c.evidence(x, d)
 		c.heard, c.leastTime = c.heard+1, min(c.leastTime, took)
@@ -969,7 +968,8 @@
 	}
 	c.own.answers, c.own.pressure = 0, 0
 	if !told {
-		c.evidence(c.own, c.ownWait)
+		c.evidence(c.own, c.beyond(c.own, c.ownWait))
+		c.own.distance += c.own.distance / distanceGrows
 	} else { // of the slots only what waits here is held by the own processor; the rest waits at far ones
 		c.own.heldSum, c.own.heldAt = time.Duration(c.own.taken)*c.own.wait, c.now
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1014,3 +1014,34 @@
 		t.Fatalf("told to stay away %v", told)
 	}
 }
+
+// What all answers always take is the way to the far ends, and no lateness of the own processor: where aims are short beside
+// it, the own window would stay shut after a cut.
+func TestOwnLatenessIsReadBeyondTheWay(t *testing.T) {
+	r := newRig(t, config(), 40)
+	way := 350 * ms // of a shortest aim of 1.2 s: more than half of what reads as full load
+	play := func(took time.Duration, steps int) {
+		for range steps {
+			var ids []uint64
+			for dest := 1; dest <= 3; dest++ {
+				r.call(dest)
+				ids = append(ids, r.id)
+			}
+			r.now += took
+			for i, id := range ids {
+				r.do(Established{Call: id, Exchange: addresses[i+1], Delay: took})
+				r.do(Returned{Call: id, Exchange: addresses[i+1], Final: true})
+			}
+			r.now += max(0, 500*ms-took)
+			r.do(Timer{ID: stepTimer})
+		}
+	}
+	play(way, 6)
+	if seen := r.c.own.seen; seen > setLow {
+		t.Fatalf("the own load reads %.2f of the way alone", seen)
+	}
+	play(way+300*ms, 2)
+	if seen := r.c.own.seen; seen < setMid/2 {
+		t.Fatalf("the own load reads %.2f when all answers come 300 ms later", seen)
+	}
+}
