--- a/daemon/connect.go
+++ b/daemon/connect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"github.com/umbergauge/umbergauge/controller"
 	"github.com/umbergauge/umbergauge/internal/config"
+	"github.com/umbergauge/umbergauge/internal/owned"
 	"github.com/umbergauge/umbergauge/m3ua"
 )
 
@@ -95,34 +95,19 @@
 
 // accept takes clients.
 func (d *Daemon) accept(ctx context.Context) {
-	defer context.AfterFunc(ctx, func() { d.listener.Close() })()
 	// A storm of connections is spread by those who are turned away and try again.
 	handshakes := rate.NewLimiter(rate.Limit(d.cfg.Limits.Handshakes), max(1, int(d.cfg.Limits.Handshakes)))
-	for {
-		conn, err := d.listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
-			// Out of file descriptors, for one: the listener is kept, and tried again after a pause.
-			d.log.Error().Err(err).Msg("accept")
-			select {
-			case <-time.After(100 * time.Millisecond):
-			case <-ctx.Done():
-				return
-			}
-			continue
-		}
+	owned.Accept(ctx, d.listener, func(err error) { d.log.Error().Err(err).Msg("accept") }, func(conn net.Conn) {
 		if int(d.clients.Add(1)) > d.cfg.Limits.Clients || !handshakes.Allow() {
 			d.clients.Add(-1)
 			d.metrics.turnedAway.Inc()
 			conn.Close()
-			continue
+			return
 		}
 		l := d.newLink(conn, controller.Peer{Kind: controller.Client, Name: conn.RemoteAddr().String()}, m3ua.NewSGP(d.cfg.M3UA(), d.now()))
 		d.own(func() {
 			defer d.clients.Add(-1)
 			l.run(ctx)
 		})
-	}
+	})
 }
--- a/internal/owned/owned.go
+++ b/internal/owned/owned.go
@@ -2,8 +2,12 @@
 package owned
 
 import (
+	"context"
+	"errors"
+	"net"
 	"runtime/debug"
 	"sync"
+	"time"
 )
 
 // Group is the goroutines of one owner. A panic ends what its goroutine serves and not the program.
@@ -41,3 +45,25 @@
 	f()
 	return true
 }
+
+// Accept hands the connections of a listener to f until ctx ends, which closes it, or it is closed. Other errors, such as a
+// lack of descriptors, are told and waited out: the listener is kept.
+func Accept(ctx context.Context, l net.Listener, failed func(error), f func(net.Conn)) {
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+			f(conn)
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return
+		default:
+			failed(err)
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
