Test of the signals: settings refused and taken under SIGHUP, SIGTERM ends with 0

Need: the life of the process was tried by hand only. Change: a test of runPlatform with real signals.

--- /dev/null
+++ b/cmd/umbergauge/platform_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// syncLog is a log that can be read while it is written.
+type syncLog struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *syncLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *syncLog) wait(t *testing.T, text string) {
+	t.Helper()
+	for range 500 {
+		l.mu.Lock()
+		found := strings.Contains(l.b.String(), text)
+		l.mu.Unlock()
+		if found {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%q was not logged: %s", text, l.b.String())
+}
+
+func TestPlatformSignals(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("GW_CONFIG", file)
+	t.Setenv("GW_LISTEN", "127.0.0.1:0")
+	if err := runPlatform(context.Background(), "info", &syncLog{}); err == nil || !strings.Contains(err.Error(), file) {
+		t.Fatalf("without a settings file: %v", err)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	good := `{"listen":"127.0.0.1:1","nameserver":"127.0.0.1:9","known":{},"settings":{"request_classes":[{"aim":1,"name":"a"}]}}`
+	write(good)
+	var log syncLog
+	done := make(chan error, 1)
+	go func() { done <- runPlatform(context.Background(), "info", &log) }()
+	log.wait(t, `"started"`)
+	write(`{"listen":`)
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	log.wait(t, "the old ones stay")
+	write(strings.Replace(good, ":9", ":10", 1))
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	log.wait(t, `"nameserver":"127.0.0.1:10"`)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	log.wait(t, "draining")
+	syscall.Kill(os.Getpid(), syscall.SIGTERM) // asked twice: at once
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	log.wait(t, `"ended"`)
+}
