Each signal has room of its own, and a second SIGTERM does not cut a drain off

Cause: one channel of four took all signals, so that a SIGTERM behind a burst of SIGHUP while the settings are read could be lost; and a second SIGTERM ended the process at once, with calls open (found in a reread of runPlatform). Now it asks that the drain go on after a second SIGTERM, with a reload in between; a second SIGINT, from who runs it by hand, ends it at once.

--- a/cmd/umbergauge/platform.go
+++ b/cmd/umbergauge/platform.go
@@ -15,10 +15,13 @@
 // runPlatform is the call controller on the users' platform. It stays in the foreground, listens where the platform says and
 // nowhere else, and writes its log to w.
 func runPlatform(ctx context.Context, level string, w io.Writer) error {
-	// Signals that come before the settings are read must not end the program.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	// Signals that come before the settings are read must not end the program. Each kind has room of its own: one that comes while
+	// another is dealt with is not lost, and of several reloads the last reads the newest file.
+	terms, interrupts, hangUps := make(chan os.Signal, 1), make(chan os.Signal, 2), make(chan os.Signal, 1)
+	for c, s := range map[chan os.Signal]os.Signal{terms: syscall.SIGTERM, interrupts: syscall.SIGINT, hangUps: syscall.SIGHUP} {
+		signal.Notify(c, s)
+		defer signal.Stop(c)
+	}
 	file := os.Getenv("GW_CONFIG")
 	cfg, err := node.Load(file)
 	if err != nil {
@@ -37,25 +40,26 @@
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
-	for terms := 0; ; {
+	for interrupted := false; ; {
 		select {
 		case err := <-done:
 			return err
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				next, err := node.Load(file)
-				if err != nil {
-					log.Error().Err(err).Msg("new settings refused, the old ones stay")
-					continue
-				}
-				n.Reload(next)
-				log.Info().Str("nameserver", next.Nameserver).Msg("new settings")
-				continue
-			}
-			if terms++; terms > 1 { // asked twice: at once
+		case <-terms: // again: the drain goes on, what was taken is owed its answer
+			n.Drain()
+		case <-interrupts: // a second one of who runs it by hand ends it at once
+			n.Drain()
+			if interrupted {
 				cancel()
 			}
-			n.Drain()
+			interrupted = true
+		case <-hangUps:
+			next, err := node.Load(file)
+			if err != nil {
+				log.Error().Err(err).Msg("new settings refused, the old ones stay")
+				continue
+			}
+			n.Reload(next)
+			log.Info().Str("nameserver", next.Nameserver).Msg("new settings")
 		}
 	}
 }
--- a/cmd/umbergauge/platform_test.go
+++ b/cmd/umbergauge/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -63,9 +64,45 @@
 	log.wait(t, `"nameserver":"127.0.0.1:10"`)
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	log.wait(t, "draining")
-	syscall.Kill(os.Getpid(), syscall.SIGTERM) // asked twice: at once
-	if err := <-done; err != nil {
-		t.Fatal(err)
+	write(strings.Replace(good, ":9", ":11", 1))
+	syscall.Kill(os.Getpid(), syscall.SIGHUP) // the name service may move in a drain
+	log.wait(t, `"nameserver":"127.0.0.1:11"`)
+	from := time.Now()
+	syscall.Kill(os.Getpid(), syscall.SIGTERM) // again: the drain goes on
+	if err := <-done; err != nil || time.Since(from) < time.Second {
+		t.Fatalf("%v after %v", err, time.Since(from))
 	}
 	log.wait(t, `"ended"`)
 }
+
+// SIGTERM while the settings are read drains the controller once it runs; a second SIGINT ends it at once.
+func TestPlatformSignalsBeforeReady(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("GW_CONFIG", file)
+	t.Setenv("GW_LISTEN", "127.0.0.1:0")
+	if err := syscall.Mkfifo(file, 0o600); err != nil { // it is read when this test writes it
+		t.Fatal(err)
+	}
+	var log syncLog
+	done := make(chan error, 1)
+	go func() { done <- runPlatform(context.Background(), "info", &log) }()
+	f, err := os.OpenFile(file, os.O_WRONLY, 0) // opens when the program has opened it to read
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	io.WriteString(f, `{"listen":"127.0.0.1:1","nameserver":"127.0.0.1:9","known":{},"settings":{"request_classes":[{"aim":1,"name":"a"}]}}`)
+	f.Close()
+	log.wait(t, "draining")
+	for from := time.Now(); ; { // two of a kind that come together are one
+		syscall.Kill(os.Getpid(), syscall.SIGINT)
+		select {
+		case err := <-done:
+			if err != nil || time.Since(from) > time.Second {
+				t.Fatalf("%v after %v", err, time.Since(from))
+			}
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -501,7 +501,7 @@
 		Brain: brain.Config{Seed: c.Seed, Controllers: len(c.Exchanges), OverQuotaWorth: c.OverQuotaWorth, MaxAttempts: c.MaxAttempts,
 			Guard: c.Guard, Repeat: c.Repeat, WarmUp: c.Cold.WarmUp, ColdShare: c.Cold.Share, FallMultiple: c.Cold.FallMultiple,
 			FallSpan: c.Cold.FallSpan,
-			Number: slices.IndexFunc(c.Exchanges, func(e Exchange) bool { return e.PointCode == c.Exchange })},
+			Number:   slices.IndexFunc(c.Exchanges, func(e Exchange) bool { return e.PointCode == c.Exchange })},
 	}
 	for _, cl := range c.Classes {
 		out.Brain.Classes = append(out.Brain.Classes, brain.Class{Aim: cl.Aim, Worth: cl.Worth, LateWorth: cl.LateWorth, Circuits: 1, Repeatable: true})
