--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -13,6 +13,7 @@
 	left   []byte // of what the writer had taken, what has not left
 	ending bool   // nothing more is queued; the writer ends when all is written
 	closed bool
+	taken  bool // the writer has taken octets and has not said that they are written
 	why    string
 }
 
@@ -78,6 +79,7 @@
 	if b.closed {
 		return buf, b.ending, true
 	}
+	b.taken = len(b.out) > 0
 	buf, b.out = append(buf, b.out...), b.out[:0]
 	if cap(b.out) > bigBuffer {
 		b.out = nil
@@ -85,6 +87,20 @@
 	return buf, b.ending, false
 }
 
+// Written tells that what the writer took has been written.
+func (b *Box) Written() {
+	b.mu.Lock()
+	b.taken = false
+	b.mu.Unlock()
+}
+
+// Idle tells whether all that was queued has been written.
+func (b *Box) Idle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.taken && len(b.out) == 0
+}
+
 // Queued is the number of octets queued.
 func (b *Box) Queued() int {
 	b.mu.Lock()
--- a/internal/owned/owned.go
+++ b/internal/owned/owned.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -46,8 +47,9 @@
 	return true
 }
 
-// Accept hands the connections of a listener to f until ctx ends, which closes it, or it is closed. Other errors, such as a
-// lack of descriptors, are told and waited out: the listener is kept.
+// Accept hands the connections of a listener to f until ctx ends, which closes it, or it is closed, or its deadline passes: what
+// waited to be accepted by then has been handed over. Other errors, such as a lack of descriptors, are told and waited out: the
+// listener is kept.
 func Accept(ctx context.Context, l net.Listener, failed func(error), f func(net.Conn)) {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
 	for {
@@ -55,7 +57,7 @@
 		switch {
 		case err == nil:
 			f(conn)
-		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded):
 			return
 		default:
 			failed(err)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -21,6 +21,7 @@
 	Longest        time.Duration // longest time for which callers of a class wait
 	ConnectTimeout time.Duration // a connection that is not up by then has failed
 	Keepalive      time.Duration // idle connections are closed after this; 0: not told
+	Probes         bool          // switches may be tested
 	RetryAfter     bool          // callers may be told how long to stay away ...
 	MaxRetryAfter  time.Duration // ... up to so long
 	OpenCap        int           // open calls at most; 0: not told
@@ -48,6 +49,7 @@
 	s := &Settings{
 		ConnectTimeout: millis(num(v, 0, "limits", "connect_timeout")),
 		Keepalive:      millis(num(v, 0, "limits", "keepalive")),
+		Probes:         v.GetBool("limits", "probes"),
 		RetryAfter:     v.GetBool("limits", "retry_after"),
 		MaxRetryAfter:  millis(num(v, 0, "limits", "max_retry_after")),
 		OpenCap:        int(num(v, 0, "limits", "open_cap")),
