--- a/brain/brain.go
+++ b/brain/brain.go
@@ -344,8 +344,8 @@
 // coldRoom tells whether one more set-up to x keeps within the own share of the cold budget. All controllers
 // together push a fresh processor over by more than FallMultiple times what it can do in FallSpan. It could
 // carry its usual load: each takes the part of the budget that it had of that. Of many controllers each has
-// less than one in a span: it saves up for one, from where its own number puts it, so that not all use theirs
-// at once. While x has just answered as at a Low load, who has less than two may have one out.
+// less than one in a span: a token bucket of one, filled from where the own number puts it, so that not all
+// use theirs at once. While x has just answered as at a Low load, who has less than two may have one out.
 func (c *Controller) coldRoom(x *exchange) bool {
 	if !c.cold(x) {
 		return true
