Test: a burst of SIGHUP while the settings are read loses no SIGTERM

Cause: the mend of the signals' one channel had no test of the loss that it names (found in a reread).

--- a/cmd/umbergauge/platform_test.go
+++ b/cmd/umbergauge/platform_test.go
@@ -75,7 +75,7 @@
 	log.wait(t, `"ended"`)
 }
 
-// SIGTERM while the settings are read drains the controller once it runs; a second SIGINT ends it at once.
+// SIGTERM while the settings are read, behind a burst of SIGHUP, drains the controller once it runs; a second SIGINT ends it at once.
 func TestPlatformSignalsBeforeReady(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	t.Setenv("GW_CONFIG", file)
@@ -90,6 +90,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	os.Remove(file) // what reads the settings again finds a plain file
+	if err := os.WriteFile(file, []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 8 { // a burst of reloads takes no room from what follows
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		time.Sleep(2 * time.Millisecond)
+	}
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	io.WriteString(f, `{"listen":"127.0.0.1:1","nameserver":"127.0.0.1:9","known":{},"settings":{"request_classes":[{"aim":1,"name":"a"}]}}`)
 	f.Close()
