--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,7 +7,7 @@
 )
 
 // cases are the cases by number; each returns what broke the rule, or "" if it held.
-var cases = map[int]func(w *world) string{1: drainCase, 2: partitionCase}
+var cases = map[int]func(w *world) string{1: drainCase, 2: partitionCase, 3: slowNamesCase}
 
 func main() {
 	number := flag.Int("case", 0, "number of the case")
--- a/review/standin/switch.go
+++ b/review/standin/switch.go
@@ -30,6 +30,13 @@
 	size     int                // circuits of its group
 	pending  []string           // releases that the next connection opened brings too
 	describe func(call string) string
+	setUps   []setUp // all that have arrived
+}
+
+// setUp is an INVITE that has arrived.
+type setUp struct {
+	id string
+	at time.Time
 }
 
 // standingCall is a call that stands at a switch.
@@ -172,6 +179,7 @@
 	case "INVITE":
 		s.mu.Lock()
 		s.open[id] = c
+		s.setUps = append(s.setUps, setUp{id, time.Now()})
 		s.mu.Unlock()
 		if hung {
 			return
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -29,6 +29,9 @@
 
 	switches   []*sw
 	ns         *net.UDPConn
+	nsDelay    time.Duration // until a query is answered
+	toldSerial uint32        // the last event of which an answer was sent
+	toldAt     time.Time     // when the first such answer was sent
 	listen     string
 	configFile string
 	list       discovery.List
@@ -118,11 +121,27 @@
 			if n < 12 {
 				continue
 			}
+			id := uint16(buf[0])<<8 | uint16(buf[1])
 			w.mu.Lock()
-			b, err := discovery.BuildAnswer(uint16(buf[0])<<8|uint16(buf[1]), &w.list)
+			delay := w.nsDelay
 			w.mu.Unlock()
-			if err == nil {
+			answer := func() { // it holds what has happened until it is sent
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				b, err := discovery.BuildAnswer(id, &w.list)
+				if err != nil {
+					return
+				}
 				w.ns.WriteToUDP(b, from)
+				if w.list.Serial > w.toldSerial {
+					w.toldSerial, w.toldAt = w.list.Serial, time.Now()
+					w.logLocked("name service: the first answer that holds event %d is sent, %.0f ms after its query", w.list.Serial, float64(delay)/1e6)
+				}
+			}
+			if delay == 0 {
+				answer()
+			} else {
+				time.AfterFunc(delay, answer)
 			}
 		}
 	}()
