--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -110,15 +110,20 @@
 		p.mu.Unlock()
 		p.listener.SetDeadline(time.Now()) // ends a pending Accept
 		setBacklog(p.listener, 0)
+		full := false
 		for range 8 { // fill the queue of the listener: the kernel drops further connection requests
 			c, err := net.DialTimeout("tcp4", p.address(), 50*time.Millisecond)
 			if err != nil {
+				full = true
 				break
 			}
 			p.mu.Lock()
 			p.fillers[c.LocalAddr().String()] = c
 			p.mu.Unlock()
 		}
+		if !full {
+			cannotRun("new connections still come up at %s", p.name)
+		}
 		p.w.logf("%s: cut off from now on", p.name)
 		return
 	}
