--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -121,6 +121,13 @@
 	d.changed = make(chan struct{})
 }
 
+// wake makes a Read or Write in progress look at its deadline again, as on a socket.
+func (d *direction) wake() {
+	d.mu.Lock()
+	d.broadcast()
+	d.mu.Unlock()
+}
+
 // Pipe returns the two ends of a connection; each direction buffers up to capacity bytes.
 func Pipe(capacity int) (net.Conn, net.Conn) {
 	forward, backward := &direction{capacity: capacity, changed: make(chan struct{})}, &direction{capacity: capacity, changed: make(chan struct{})}
@@ -233,6 +240,7 @@
 	c.mu.Lock()
 	c.readDeadline = t
 	c.mu.Unlock()
+	c.in.wake()
 	return nil
 }
 
@@ -240,5 +248,6 @@
 	c.mu.Lock()
 	c.writeDeadline = t
 	c.mu.Unlock()
+	c.out.wake()
 	return nil
 }
