--- /dev/null
+++ b/review/world/cases.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"time"
+
+	"github.com/umbergauge/umbergauge/platform/discovery"
+)
+
+// cases are the cases by name.
+var cases = map[string]func(w *world) error{"late": late, "outage": outage, "zone": zone, "again": again, "stale": stale, "mute": mute, "calm": calm}
+
+func prompt(hold time.Duration) answer {
+	return answer{after: 20 * time.Millisecond, status: 200, hold: hold}
+}
+
+// calm is a run without any disruption.
+func calm(w *world) error {
+	if err := w.open(3, func(in *invite) answer { return prompt(3 * time.Second) }); err != nil {
+		return err
+	}
+	w.caller.traffic(10*time.Second, 100*time.Millisecond, 3*time.Second, 1, 2, 3)
+	time.Sleep(5 * time.Second)
+	w.judge()
+	return nil
+}
+
+// late: of the calls to one switch, one in six gets its answers after their time, the one to the set-up 100 ms after X-Patience and
+// the one to its release 1.2 s after the release.
+func late(w *world) error {
+	n := 0
+	err := w.open(3, func(in *invite) answer {
+		a := prompt(6 * time.Second)
+		if in.number == 0 && in.board.cell == 1 {
+			if n++; w.trouble && n%6 == 0 {
+				a.after, a.always = in.patience+100*time.Millisecond, true
+				in.board.confirmAfter[in.id] = 1200 * time.Millisecond
+			}
+		}
+		return a
+	})
+	if err != nil {
+		return err
+	}
+	w.caller.traffic(25*time.Second, 50*time.Millisecond, 3*time.Second, 1, 1, 2, 3)
+	time.Sleep(9 * time.Second)
+	w.judge()
+	return nil
+}
+
+// outage: a switch is replaced by a new one at its address, and the name service is down for 8 s from before it can tell that the
+// old one is gone.
+func outage(w *world) error {
+	if err := w.open(3, func(in *invite) answer { return prompt(40 * time.Second) }); err != nil {
+		return err
+	}
+	w.caller.traffic(4*time.Second, 100*time.Millisecond, 3*time.Second, 1, 2, 3)
+	time.Sleep(time.Second)
+
+	w.mu.Lock()
+	old := w.switches[1]
+	drains := listOf(w.switches...)
+	drains[1].State = discovery.Draining
+	w.names.set(drains)
+	w.mu.Unlock()
+	time.Sleep(2 * time.Second)
+
+	old.die()
+	time.Sleep(time.Second)
+	w.mu.Lock()
+	if w.trouble {
+		w.log("name service: silent for 8 s")
+		w.names.silent = true
+	}
+	w.names.set(listOf(w.switches[0], w.switches[2], w.switches[3]))
+	w.mu.Unlock()
+	time.Sleep(500 * time.Millisecond)
+
+	next := &switchboard{w: w, id: "s-00d50001", cell: 1, addr: old.addr, started: time.Now().UnixMilli(), standing: map[string]*standing{}, plan: old.plan,
+		confirmAfter: map[string]time.Duration{}}
+	if err := next.listen(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.switches = append(w.switches, next)
+	w.names.set(listOf(w.switches[0], next, w.switches[2], w.switches[3]))
+	w.mu.Unlock()
+	time.Sleep(7500 * time.Millisecond)
+	w.mu.Lock()
+	w.names.silent = false
+	w.log("name service: answers")
+	w.mu.Unlock()
+	time.Sleep(4 * time.Second)
+	w.judge()
+	return nil
+}
+
+// zone: a zone is lost for 5 s and returns cold: the controller and one switch, with its calls.
+func zone(w *world) error {
+	if err := w.open(3, func(in *invite) answer { return prompt(18 * time.Second) }); err != nil {
+		return err
+	}
+	w.caller.traffic(4*time.Second, 100*time.Millisecond, 3*time.Second, 1, 2, 3)
+	time.Sleep(time.Second)
+
+	w.control.kill()
+	lost := w.switches[1]
+	if w.trouble {
+		lost.die()
+	}
+	time.Sleep(5 * time.Second)
+	if w.trouble {
+		w.mu.Lock()
+		lost.started = time.Now().UnixMilli()
+		w.names.set(listOf(w.switches...))
+		w.mu.Unlock()
+		if err := lost.listen(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	if err := w.control.start(); err != nil {
+		return err
+	}
+	if err := w.caller.connect(4); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.caller.report()
+	w.mu.Unlock()
+	w.caller.traffic(10*time.Second, 300*time.Millisecond, 3*time.Second, 1, 2, 3)
+	time.Sleep(8 * time.Second)
+	w.judge()
+	return nil
+}
+
+// stale: one in six answers of a slow switch is lost, as the connection is reset when it is sent. The call stands there all the same
+// and comes to its end later.
+func stale(w *world) error {
+	n := 0
+	holds := []time.Duration{300 * time.Millisecond, 3 * time.Second, 6 * time.Second, 9 * time.Second, 12 * time.Second} // 6 s on average
+	err := w.open(3, func(in *invite) answer {
+		a := answer{after: 400 * time.Millisecond, status: 200, hold: 6 * time.Second}
+		if in.board.cell == 1 {
+			a.hold = holds[n%len(holds)]
+			if in.number == 0 {
+				n++
+				a.lost = w.trouble && n%6 == 0
+			}
+		}
+		return a
+	})
+	if err != nil {
+		return err
+	}
+	w.caller.traffic(40*time.Second, 100*time.Millisecond, 3*time.Second, 1, 1, 2, 3)
+	time.Sleep(14 * time.Second)
+	w.judge()
+	return nil
+}
+
+// mute: an answer of a switch never comes, and the connection that stays open is of no further use.
+func mute(w *world) error {
+	phase := 0
+	err := w.open(3, func(in *invite) answer {
+		a := prompt(time.Duration(4+in.id[15]&3) * time.Second)
+		if in.board.cell == 1 && phase == 0 {
+			a.after = 150 * time.Millisecond
+		}
+		if w.trouble && phase == 1 && len(in.board.conns) > 1 && in.conn == in.board.conns[1] {
+			phase = 2
+			in.conn.mute = true
+			w.log("%s: the answer to %s never comes, and nothing more on its connection", in.board.id, in.id)
+			a.never = true
+		}
+		return a
+	})
+	if err != nil {
+		return err
+	}
+	w.caller.traffic(4*time.Second, 50*time.Millisecond, 3*time.Second, 1, 1, 2, 3)
+	w.mu.Lock()
+	phase = 1
+	w.mu.Unlock()
+	for range 4 {
+		w.mu.Lock()
+		w.caller.offer(1, 3*time.Second)
+		w.caller.offer(1, 3*time.Second)
+		w.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.caller.traffic(25*time.Second, 500*time.Millisecond, 3*time.Second, 1, 2, 3)
+	w.judge()
+	return nil
+}
+
+func again(w *world) error { return nil }
--- /dev/null
+++ b/review/world/main.go
@@ -0,0 +1,243 @@
+// Command world plays the cases 6 to 10 of the review against one call controller of the deploy file: it has stand-ins of the
+// switches, the name service, the callers and the platform, all on loopback addresses and the real clock. A stand-in behaves as
+// the users' pages say, apart from the disruption of the case. Everything that is sent, answered and run is written to a record,
+// and the rules are judged from what callers and switches have seen.
+//
+// Usage: world CASE RECORD. TROUBLE=0 leaves the disruption out. Exit code: 1 a rule was broken, 0 it held, 2 the case couldn't run.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Limits of the users' pages.
+const (
+	slack        = 50 * time.Millisecond  // every time limit is that much longer
+	releaseLimit = time.Second            // from a release by the switch or the controller to the release towards the caller
+	silentLimit  = 8 * time.Second        // from the end of a call if no release could be sent
+	answerLimit  = 500 * time.Millisecond // beyond its time a request without an answer is lost
+	guard        = 200 * time.Millisecond
+	drainGrace   = time.Second
+)
+
+// world holds the stand-ins, the calls and what has happened to them.
+type world struct {
+	mu       sync.Mutex
+	start    time.Time
+	record   *bufio.Writer
+	trouble  bool
+	dir      string
+	names    *names
+	switches []*switchboard
+	calls    map[string]*call
+	order    []*call
+	caller   *callers
+	control  *controller
+	broken   []string
+	nextID   uint64
+	closing  bool
+}
+
+// call is one set-up of a caller and what became of it.
+type call struct {
+	id, class, at  string
+	conn           *callerConn // on which it was offered
+	dest           int
+	sent           time.Time
+	left           time.Duration
+	answers        int
+	answer         string
+	answeredAt     time.Time
+	cause          int
+	standing       bool // for its caller
+	gaveUp         bool
+	excused        bool // its controller was killed, or its caller is not a usual one
+	endedByCaller  bool
+	given          []string       // descriptions that switches gave
+	desc           string         // the one that its caller got
+	attempts       []*invite      // in the order of their arrival
+	overs          map[string]end // how what stood under a description ended at its switch
+	releasedAt     time.Time
+	attemptEndedAt time.Time // when its last attempt was given up or reset
+}
+
+// end is the end of a call at its switch, and the time within which its caller is to be told.
+type end struct {
+	at    time.Time
+	how   string
+	limit time.Duration
+}
+
+func (w *world) since() string { return fmt.Sprintf("%9.3f", time.Since(w.start).Seconds()) }
+
+// log writes a line to the record; w.mu is held.
+func (w *world) log(format string, args ...any) {
+	fmt.Fprintf(w.record, "%s %s\n", w.since(), fmt.Sprintf(format, args...))
+}
+
+func (w *world) say(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.log(format, args...)
+}
+
+// breaks notes a broken rule; w.mu is held.
+func (w *world) breaks(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	w.broken = append(w.broken, text)
+	w.log("RULE BROKEN: %s", text)
+}
+
+// over notes that what stood at a switch under a description has ended; w.mu is held.
+func (w *world) over(id, desc, how string, limit time.Duration) {
+	if c := w.calls[id]; c != nil {
+		c.overs[desc] = end{time.Now(), how, limit}
+	}
+}
+
+// judge checks the rules on all calls at the end of a run.
+func (w *world) judge() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	var stood, refused, failed, open, released int
+	for _, c := range w.order {
+		switch {
+		case c.answers == 0:
+			open++
+		case c.answer == "accept":
+			stood++
+		case c.cause == 34 || c.cause == 42 || c.cause == 102:
+			refused++
+		default:
+			failed++
+		}
+		if !c.releasedAt.IsZero() {
+			released++
+		}
+		if c.excused {
+			continue
+		}
+		if c.answers == 0 && !c.gaveUp && now.After(c.sent.Add(c.left+answerLimit+slack)) {
+			w.breaks("call %s, sent at %.3f with %v, has no answer", c.id, c.sent.Sub(w.start).Seconds(), c.left)
+		}
+		if c.answers > 1 {
+			w.breaks("call %s has %d answers", c.id, c.answers)
+		}
+		over, isOver := c.overs[c.desc]
+		if c.answer != "accept" || !isOver || c.endedByCaller || c.gaveUp {
+			continue
+		}
+		limit, at := over.limit+slack, over.at.Sub(w.start).Seconds()
+		switch {
+		case !c.releasedAt.IsZero() && c.releasedAt.Sub(over.at) > limit:
+			w.breaks("call %s was over at %.3f (%s) and released towards its caller %.3f s later; limit %v", c.id, at, over.how,
+				c.releasedAt.Sub(over.at).Seconds(), limit)
+		case c.releasedAt.IsZero() && now.Sub(over.at) > limit:
+			w.breaks("call %s was over at %.3f (%s) and is left standing: no release towards its caller in %.3f s; limit %v", c.id, at, over.how,
+				now.Sub(over.at).Seconds(), limit)
+		}
+	}
+	w.log("calls: %d offered, %d stood, %d refused, %d failed, %d without an answer, %d released", len(w.order), stood, refused, failed, open, released)
+}
+
+// find returns the switch with an id.
+func (w *world) find(id string) *switchboard {
+	for _, s := range w.switches {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func main() {
+	code := 2
+	defer func() { os.Exit(code) }()
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: world CASE RECORD")
+		return
+	}
+	f, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	defer f.Close()
+	dir, err := os.MkdirTemp("", "world")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	defer os.RemoveAll(dir)
+	w := &world{start: time.Now(), record: bufio.NewWriter(f), trouble: os.Getenv("TROUBLE") != "0", dir: dir, calls: map[string]*call{}}
+	defer w.record.Flush()
+	w.nextID = uint64(w.start.UnixNano()) << 8
+	w.log("case %s, disruption %v", os.Args[1], w.trouble)
+	timer := time.AfterFunc(118*time.Second, func() { // never longer than a run may take
+		w.control.kill()
+		fmt.Fprintln(os.Stderr, "the case took too long")
+		os.Exit(2)
+	})
+	defer timer.Stop()
+	err = cases[os.Args[1]](w)
+	w.mu.Lock()
+	w.closing = true
+	w.mu.Unlock()
+	w.control.kill()
+	if err != nil {
+		w.say("the case couldn't run: %v", err)
+		fmt.Fprintln(os.Stderr, "the case couldn't run:", err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.broken {
+		fmt.Println("RULE BROKEN:", s)
+	}
+	code = min(1, len(w.broken))
+	w.log("exit code %d", code)
+}
+
+// description is a description as the pages show one, with a mark of its own.
+func description(mark string) string {
+	return mark + "\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
+}
+
+// freePorts returns the addresses of n free ports.
+func freePorts(n int) (addrs []string, err error) {
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// waitFor waits until a condition holds, checked under w.mu; false: it didn't within the limit.
+func (w *world) waitFor(limit time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		w.mu.Lock()
+		ok := holds()
+		w.mu.Unlock()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// brokenBy reports whether a rule was broken by something that contains text; w.mu is held.
+func (w *world) brokenBy(text string) bool {
+	return slices.ContainsFunc(w.broken, func(s string) bool { return strings.Contains(s, text) })
+}
