--- a/review/world/callers.go
+++ b/review/world/callers.go
@@ -181,6 +181,12 @@
 func (c *callers) traffic(d, every, left time.Duration, dests ...int) {
 	end := time.Now().Add(d)
 	for i := 0; time.Now().Before(end); i++ {
+		c.w.mu.Lock()
+		none := len(c.conns) == 0
+		c.w.mu.Unlock()
+		if none {
+			c.connect(1)
+		}
 		c.w.mu.Lock()
 		c.offer(dests[i%len(dests)], left)
 		c.w.mu.Unlock()
