--- a/cmd/umbergauge/platform.go
+++ b/cmd/umbergauge/platform.go
@@ -30,7 +30,7 @@
 	if listen := os.Getenv("GW_LISTEN"); listen != "" {
 		cfg.Listen = listen
 	}
-	cfg.LimitMemory()
+	cfg.ApplyLimits()
 	log := logger(config.Log{Format: "json", Level: level}, w)
 	n, err := node.New(node.Options{Config: cfg, Log: log})
 	if err != nil {
