Emulated switches and callers of the platform have a package of their own

Need: the emulated switch, name server, usual and misusing callers of the process tests stood in test files, where nothing else can use them.

Change: emulator/platform; the process tests start the program and check. A misuse is read from text with an error for an unknown kind.

--- a/platform/processtest/callers_test.go
+++ b/emulator/platform/callers.go
@@ -1,4 +1,4 @@
-package processtest
+package platform
 
 import (
 	"bufio"
@@ -12,29 +12,30 @@
 	"time"
 )
 
-// patience is how long a usual caller waits for an answer.
-const patience = 3 * time.Second
+// Patience is how long a usual caller waits for an answer.
+const Patience = 3 * time.Second
 
 // closeSlack is the time within which a set-up that crosses the close of its connection is sent again, once.
 const closeSlack = 50 * time.Millisecond
 
-// offerLine is a set-up to the test's switch.
-func offerLine(call string, left time.Duration) string {
+// OfferLine is a set-up to the test's switch.
+func OfferLine(call string, left time.Duration) string {
 	return fmt.Sprintf(`{"op":"offer","call":"%s","with":{"class":"voice","left":"%d","key":"k1","extras":"dest:1;width:1;via:-1"},"desc":"d"}`+"\n",
 		call, left.Milliseconds())
 }
 
-// usualCallers offer calls on shared connections, which they open again when the program has closed them, and note what becomes of
-// the calls.
-type usualCallers struct {
+// Callers are usual callers: they offer calls on shared connections, which they open again when the program has closed them, and note what
+// becomes of the calls.
+type Callers struct {
 	address string
 
 	mu    sync.Mutex
-	calls map[string]*usualCall
+	calls map[string]*call
 	conns []net.Conn // nil: it has ended
 }
 
-type usualCall struct {
+// call is what has become of a call.
+type call struct {
 	conn     net.Conn
 	offered  time.Time
 	answered time.Time
@@ -43,30 +44,31 @@
 	repeated bool
 }
 
-// newUsualCallers returns callers with n connections, which are opened when they are needed.
-func (p *process) newUsualCallers(n int) *usualCallers {
-	u := &usualCallers{address: p.address, calls: map[string]*usualCall{}, conns: make([]net.Conn, n)}
-	p.t.Cleanup(func() {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		for _, c := range u.conns {
-			if c != nil {
-				c.Close()
-			}
+// NewCallers returns callers of the program at an address, with n connections that are opened when they are needed.
+func NewCallers(address string, n int) *Callers {
+	return &Callers{address: address, calls: map[string]*call{}, conns: make([]net.Conn, n)}
+}
+
+// Close closes the connections.
+func (u *Callers) Close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		if c != nil {
+			c.Close()
 		}
-	})
-	return u
+	}
 }
 
 // conn returns the connection with a number, and opens it if it has ended.
-func (u *usualCallers) conn(i int) (net.Conn, error) {
+func (u *Callers) conn(i int) (net.Conn, error) {
 	u.mu.Lock()
 	c := u.conns[i]
 	u.mu.Unlock()
 	if c != nil {
 		return c, nil
 	}
-	c, err := net.DialTimeout("tcp4", u.address, patience)
+	c, err := net.DialTimeout("tcp4", u.address, Patience)
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +80,7 @@
 }
 
 // read notes the answers that come on a connection. When it ends, the calls offered on it within closeSlack before are offered again.
-func (u *usualCallers) read(c net.Conn, i int) {
+func (u *Callers) read(c net.Conn, i int) {
 	lines := bufio.NewScanner(c)
 	for lines.Scan() {
 		u.noteLine(lines.Bytes())
@@ -99,7 +101,7 @@
 	}
 }
 
-func (u *usualCallers) noteLine(line []byte) {
+func (u *Callers) noteLine(line []byte) {
 	var m struct {
 		Op, Call string
 		Why      int
@@ -115,7 +117,7 @@
 }
 
 // send sends the set-up of a call on the connection with a number.
-func (u *usualCallers) send(i int, id string) {
+func (u *Callers) send(i int, id string) {
 	c, err := u.conn(i)
 	if err != nil {
 		return
@@ -123,72 +125,74 @@
 	u.mu.Lock()
 	u.calls[id].conn = c
 	u.mu.Unlock()
-	io.WriteString(c, offerLine(id, patience))
+	io.WriteString(c, OfferLine(id, Patience))
 }
 
-// offer offers calls at a fixed interval for a while.
-func (u *usualCallers) offer(d, interval time.Duration) {
+// Offer offers calls at a fixed interval for a while.
+func (u *Callers) Offer(d, interval time.Duration) {
 	for end, n := time.Now().Add(d), 0; time.Now().Before(end); n++ {
-		id := newCallID()
+		id := NewCallID()
 		u.mu.Lock()
-		u.calls[id] = &usualCall{offered: time.Now()}
+		u.calls[id] = &call{offered: time.Now()}
 		u.mu.Unlock()
 		u.send(n%len(u.conns), id)
 		time.Sleep(interval)
 	}
 }
 
-// outcome is what has become of the usual callers' calls.
-type outcome struct {
-	offered, accepted, unanswered, notServed int
-	slowest, median                          time.Duration
-	causes                                   map[int]int // of those that were not served
+// Outcome is what has become of the usual callers' calls.
+type Outcome struct {
+	Offered, Accepted, Unanswered, NotServed int
+	Slowest, Median                          time.Duration
+	Causes                                   map[int]int // of those that were not served
 }
 
-func (o outcome) String() string {
-	return fmt.Sprintf("%d offered, %d accepted, %d ended otherwise %v, %d unanswered, median %v, slowest %v", o.offered, o.accepted, o.notServed, o.causes,
-		o.unanswered, o.median.Round(time.Millisecond), o.slowest.Round(time.Millisecond))
+// String returns the figures in one line.
+func (o Outcome) String() string {
+	return fmt.Sprintf("%d offered, %d accepted, %d ended otherwise %v, %d unanswered, median %v, slowest %v", o.Offered, o.Accepted, o.NotServed, o.Causes,
+		o.Unanswered, o.Median.Round(time.Millisecond), o.Slowest.Round(time.Millisecond))
 }
 
-func (u *usualCallers) outcome() (o outcome) {
+// Outcome returns what has become of the calls so far.
+func (u *Callers) Outcome() (o Outcome) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	o.causes = map[int]int{}
+	o.Causes = map[int]int{}
 	var delays []time.Duration
 	for _, call := range u.calls {
-		o.offered++
+		o.Offered++
 		switch {
 		case call.answered.IsZero():
-			o.unanswered++
+			o.Unanswered++
 			continue
 		case call.accepted:
-			o.accepted++
+			o.Accepted++
 		default:
-			o.notServed++
-			o.causes[call.cause]++
+			o.NotServed++
+			o.Causes[call.cause]++
 		}
 		delays = append(delays, call.answered.Sub(call.offered))
 	}
 	slices.Sort(delays)
 	if len(delays) > 0 {
-		o.median, o.slowest = delays[len(delays)/2], delays[len(delays)-1]
+		o.Median, o.Slowest = delays[len(delays)/2], delays[len(delays)-1]
 	}
 	return o
 }
 
-// waitForAnswers returns the outcome once every call is answered or its caller's time is up.
-func (u *usualCallers) waitForAnswers() outcome {
-	for deadline := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
-		if o := u.outcome(); o.unanswered == 0 || time.Now().After(deadline) {
+// WaitForAnswers returns the outcome once every call is answered or its caller's time is up.
+func (u *Callers) WaitForAnswers() Outcome {
+	for deadline := time.Now().Add(Patience); ; time.Sleep(20 * time.Millisecond) {
+		if o := u.Outcome(); o.Unanswered == 0 || time.Now().After(deadline) {
 			return o
 		}
 	}
 }
 
-// manyFields is a set-up of about 15 kB with very many short fields.
-func manyFields(call string) string {
+// ManyFields is a set-up of about 15 kB with very many short fields.
+func ManyFields(call string) string {
 	var b strings.Builder
-	b.WriteString(strings.TrimSuffix(offerLine(call, patience), "}\n"))
+	b.WriteString(strings.TrimSuffix(OfferLine(call, Patience), "}\n"))
 	for i := 0; b.Len() < 15000; i++ {
 		fmt.Fprintf(&b, `,"%x":1`, i)
 	}
--- a/platform/processtest/misuse_test.go
+++ b/emulator/platform/misuse.go
@@ -1,12 +1,10 @@
-package processtest
+package platform
 
 import (
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
-	"os/exec"
 	"strings"
 	"time"
 )
@@ -41,12 +39,12 @@
 	}
 }
 
-// newCallID returns an id that no call has had.
-func newCallID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+// NewCallID returns an id that no call has had.
+func NewCallID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 // sendOctets writes a set-up one octet at a time.
 func sendOctets(c net.Conn) {
-	for _, b := range []byte(manyFields(newCallID())) {
+	for _, b := range []byte(ManyFields(NewCallID())) {
 		if _, err := c.Write([]byte{b}); err != nil {
 			return
 		}
@@ -56,16 +54,16 @@
 
 // sendHalf stops half way through a large set-up.
 func sendHalf(c net.Conn) {
-	io.WriteString(c, manyFields(newCallID())[:8000])
+	io.WriteString(c, ManyFields(NewCallID())[:8000])
 	io.Copy(io.Discard, c)
 }
 
 // sendManyFields sends set-ups of very many short fields as fast as it can.
 func sendManyFields(c net.Conn) {
 	go io.Copy(io.Discard, c)
-	line := manyFields("0000000000000000")
+	line := ManyFields("0000000000000000")
 	for {
-		if _, err := io.WriteString(c, strings.Replace(line, "0000000000000000", newCallID(), 1)); err != nil {
+		if _, err := io.WriteString(c, strings.Replace(line, "0000000000000000", NewCallID(), 1)); err != nil {
 			return
 		}
 	}
@@ -74,9 +72,9 @@
 // sendManyValues sends set-ups with an array of very many values as fast as it can.
 func sendManyValues(c net.Conn) {
 	go io.Copy(io.Discard, c)
-	line := strings.TrimSuffix(offerLine("0000000000000000", patience), "}\n") + `,"x":[` + strings.Repeat("0,", 7500) + "0]}\n"
+	line := strings.TrimSuffix(OfferLine("0000000000000000", Patience), "}\n") + `,"x":[` + strings.Repeat("0,", 7500) + "0]}\n"
 	for {
-		if _, err := io.WriteString(c, strings.Replace(line, "0000000000000000", newCallID(), 1)); err != nil {
+		if _, err := io.WriteString(c, strings.Replace(line, "0000000000000000", NewCallID(), 1)); err != nil {
 			return
 		}
 	}
@@ -84,66 +82,70 @@
 
 // sendExpiring sends set-ups with 1 ms of time, under ever new ids, as fast as it can.
 func sendExpiring(c net.Conn) {
-	flood(c, func() string { return offerLine(newCallID(), time.Millisecond) })
+	flood(c, func() string { return OfferLine(NewCallID(), time.Millisecond) })
 }
 
 // sendUnsound sends set-ups of a class that does not exist, under ever new ids, as fast as it can.
 func sendUnsound(c net.Conn) {
-	flood(c, func() string { return strings.Replace(offerLine(newCallID(), time.Second), "voice", "none", 1) })
+	flood(c, func() string { return strings.Replace(OfferLine(NewCallID(), time.Second), "voice", "none", 1) })
 }
 
 // sendUnknownEnds ends calls that do not exist, under ever new ids, as fast as it can.
 func sendUnknownEnds(c net.Conn) {
-	flood(c, func() string { return fmt.Sprintf(`{"op":"end","call":"%s","with":{},"why":16}`+"\n", newCallID()) })
+	flood(c, func() string { return fmt.Sprintf(`{"op":"end","call":"%s","with":{},"why":16}`+"\n", NewCallID()) })
 }
 
 // sendSmall sends sound set-ups as fast as it can.
 func sendSmall(c net.Conn) {
-	flood(c, func() string { return offerLine(newCallID(), patience) })
+	flood(c, func() string { return OfferLine(NewCallID(), Patience) })
 }
 
 // sendTests sends test messages as fast as it can.
 func sendTests(c net.Conn) {
-	flood(c, func() string { return `{"op":"test","call":"` + newCallID() + `","with":{},"why":0}` + "\n" })
+	flood(c, func() string { return `{"op":"test","call":"` + NewCallID() + `","with":{},"why":0}` + "\n" })
 }
 
-// playMisuse runs the clients of one misuse, as told by startMisuse, until the process is killed or the time is up.
-func playMisuse(spec string) {
-	var kind, address string
-	var clients int
-	var seconds float64
-	if _, err := fmt.Sscan(spec, &kind, &address, &clients, &seconds); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+// Misuse is what clients do to the program at an address.
+type Misuse struct {
+	Kind    string
+	Address string
+	Clients int
+	Lasts   time.Duration
+}
+
+// String returns the misuse as text that ParseMisuse reads.
+func (m Misuse) String() string {
+	return fmt.Sprintf("%s %s %d %v", m.Kind, m.Address, m.Clients, m.Lasts)
+}
+
+// ParseMisuse reads the text of a misuse.
+func ParseMisuse(text string) (m Misuse, err error) {
+	var lasts string
+	if _, err = fmt.Sscan(text, &m.Kind, &m.Address, &m.Clients, &lasts); err != nil {
+		return m, fmt.Errorf("misuse %q: %w", text, err)
+	}
+	if misuses[m.Kind] == nil {
+		return m, fmt.Errorf("misuse %q: unknown kind", text)
 	}
-	for range clients {
+	m.Lasts, err = time.ParseDuration(lasts)
+	return m, err
+}
+
+// reconnectInterval is how long a misusing client waits before it connects again.
+const reconnectInterval = 10 * time.Millisecond
+
+// Play runs the clients until the time is up; it leaves them behind, so the process has to end then.
+func (m Misuse) Play() {
+	for range m.Clients {
 		go func() {
 			for {
-				c, err := net.Dial("tcp4", address)
-				if err != nil {
-					time.Sleep(10 * time.Millisecond)
-					continue
+				if c, err := net.Dial("tcp4", m.Address); err == nil {
+					misuses[m.Kind](c)
+					c.Close()
 				}
-				misuses[kind](c)
-				c.Close()
-				time.Sleep(10 * time.Millisecond)
+				time.Sleep(reconnectInterval)
 			}
 		}()
 	}
-	time.Sleep(time.Duration(seconds * float64(time.Second)))
-}
-
-// startMisuse starts a process of misusing clients, which ends by itself.
-func (p *process) startMisuse(kind string, clients int, d time.Duration) {
-	p.t.Helper()
-	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %d %.3f", misuseVariable, kind, p.address, clients, d.Seconds()))
-	command.Stderr = os.Stderr
-	if err := command.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	p.t.Cleanup(func() {
-		command.Process.Kill()
-		command.Wait()
-	})
+	time.Sleep(m.Lasts)
 }
