--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -8,10 +8,14 @@
 )
 
 // order runs units of work of several flows through a gate of capacity 1, all waiting at the same time, and returns in which order their
-// flows were admitted.
-func order(t *testing.T, units func(enter func(name string, f *Flow, cost int))) (names []string) {
+// flows were admitted. The flow before has had ten units of 10 by then.
+func order(t *testing.T, before *Flow, units func(enter func(name string, f *Flow, cost int))) (names []string) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate(1)
+		for range 10 {
+			g.Enter(t.Context(), before, 10)
+			g.Leave()
+		}
 		g.Enter(t.Context(), &Flow{}, 0)
 		admitted := make(chan string)
 		units(func(name string, f *Flow, cost int) {
@@ -39,7 +43,7 @@
 
 // A flow that asks for little is admitted before the next unit of one that has had much, however many units that one has waiting.
 func TestSmallFlowIsAdmittedBeforeLargeOne(t *testing.T) {
-	got := order(t, func(enter func(string, *Flow, int)) {
+	got := order(t, &Flow{}, func(enter func(string, *Flow, int)) {
 		var large, small Flow
 		for range 3 {
 			enter("large", &large, 15000)
@@ -52,9 +56,9 @@
 	}
 }
 
-// Flows of equal units take turns, and a flow that has been idle gains no credit.
+// Flows of equal units take turns.
 func TestEqualFlowsTakeTurns(t *testing.T) {
-	got := order(t, func(enter func(string, *Flow, int)) {
+	got := order(t, &Flow{}, func(enter func(string, *Flow, int)) {
 		var a, b Flow
 		enter("a", &a, 10)
 		enter("a", &a, 10)
@@ -67,6 +71,20 @@
 	}
 }
 
+// A flow that has been idle gains no credit for that time: it is not admitted for all of it at once.
+func TestIdleFlowGainsNoCredit(t *testing.T) {
+	var busy, idle Flow
+	got := order(t, &busy, func(enter func(string, *Flow, int)) {
+		for range 3 {
+			enter("idle", &idle, 10)
+		}
+		enter("busy", &busy, 10)
+	})
+	if want := []string{"idle", "idle", "busy", "idle"}; !slices.Equal(got, want) {
+		t.Fatalf("admitted %v, want %v", got, want)
+	}
+}
+
 // A waiter whose context ends leaves its place to the others, and no unit is lost or admitted twice.
 func TestCancelledWaiterLeavesItsPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
